Add design, value types, envelope and test support

The repository is empty. The design page fixes packages, interfaces, state, messages and the behaviour on each failure, so that the parts can be written independently. The base packages (clock, findings, model, hashing, wire envelope, virtual network, measurements) carry the types that all parts share.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.requirements
+
+.PHONY: demo test lint unit fuzz bench capacity format generate
+
+$(STAMP): requirements.txt requirements-dev.txt constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		-r requirements-dev.txt -c constraints.txt
+	touch $@
+
+test: lint unit
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 acaciamoor tools
+
+unit: $(STAMP)
+	$(BIN)/python -m tools.run_tests
+
+fuzz: $(STAMP)
+	ACACIAMOOR_FUZZ_PROFILE=long $(BIN)/python -m tools.run_tests --pattern 'test_fuzz*.py'
+
+demo: $(STAMP)
+	$(BIN)/python -m acaciamoor.demo
+
+bench: $(STAMP)
+	$(BIN)/python -m acaciamoor.load --bench --output build/bench.json
+
+capacity: $(STAMP)
+	$(BIN)/python -m acaciamoor.load --capacity --output build/capacity.json
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+generate: $(STAMP)
+	$(BIN)/python -m tools.generate
--- /dev/null
+++ b/acaciamoor/clock/clock.py
@@ -0,0 +1,92 @@
+"""Clock protocol and its two implementations."""
+
+import datetime
+import time
+import typing
+
+
+class Clock(typing.Protocol):
+    """Source of wall-clock and monotonic time.
+
+    Decisions use `monotonic` for every duration; `now` only labels reports
+    and logs, because the wall clock of a host may jump.
+    """
+
+    def now(self) -> datetime.datetime:
+        """Return the wall-clock time in UTC."""
+
+    def monotonic(self) -> datetime.timedelta:
+        """Return the time since an arbitrary fixed instant."""
+
+
+class SystemClock:
+    """Clock of the operating system.
+
+    The monotonic time includes time in which the process was stopped, so a
+    paused process can tell that it was paused.
+    """
+
+    def now(self) -> datetime.datetime:
+        """Return the wall-clock time in UTC."""
+        return datetime.datetime.now(tz=datetime.UTC)
+
+    def monotonic(self) -> datetime.timedelta:
+        """Return the time since an arbitrary fixed instant."""
+        return datetime.timedelta(microseconds=time.monotonic_ns() // 1000)
+
+
+class ManualClock:
+    """Clock that moves only when told to.
+
+    Parameters
+    ----------
+    start : datetime.datetime
+        Wall-clock time at monotonic time zero.
+
+    Examples
+    --------
+    >>> import datetime
+    >>> clock = ManualClock()
+    >>> clock.advance(datetime.timedelta(seconds=2))
+    >>> clock.monotonic()
+    datetime.timedelta(seconds=2)
+    """
+
+    def __init__(
+        self,
+        start: datetime.datetime = datetime.datetime(
+            2026, 1, 1, tzinfo=datetime.UTC
+        ),
+    ) -> None:
+        self._start = start
+        self._elapsed = datetime.timedelta(0)
+
+    def now(self) -> datetime.datetime:
+        """Return the start time plus the elapsed time."""
+        return self._start + self._elapsed
+
+    def monotonic(self) -> datetime.timedelta:
+        """Return the elapsed time."""
+        return self._elapsed
+
+    def advance(self, step: datetime.timedelta) -> None:
+        """Move forward by `step`.
+
+        Raises
+        ------
+        ValueError
+            If `step` is negative.
+        """
+        if step < datetime.timedelta(0):
+            raise ValueError(f'a clock cannot move back by {-step}')
+        self._elapsed += step
+
+    def advance_to(self, instant: datetime.timedelta) -> None:
+        """Move forward to monotonic time `instant`.
+
+        Raises
+        ------
+        ValueError
+            If `instant` is in the past.
+        """
+        self.advance(instant - self._elapsed)
--- /dev/null
+++ b/acaciamoor/findings/__init__.py
@@ -0,0 +1,7 @@
+"""Problems found in settings and objects, reported together."""
+
+from acaciamoor.findings.findings import Finding
+from acaciamoor.findings.findings import FindingError
+from acaciamoor.findings.findings import FindingsError
+
+__all__ = ['Finding', 'FindingError', 'FindingsError']
--- /dev/null
+++ b/acaciamoor/model/identifiers.py
@@ -0,0 +1,10 @@
+"""Identifiers that are distinct types to the type checker."""
+
+import typing
+
+DataCentre = typing.NewType('DataCentre', str)
+HostId = typing.NewType('HostId', str)
+UpstreamId = typing.NewType('UpstreamId', str)
+# Unsigned 32-bit number, assigned when a service is created and never reused,
+# so that a packet of a deleted service cannot match a later one.
+ServiceId = typing.NewType('ServiceId', int)
--- /dev/null
+++ b/acaciamoor/version.py
@@ -0,0 +1,3 @@
+"""Version of the project."""
+
+__version__ = '0.1.0'
