Add settings and telemetry

Programs need flags with environment variables, collected findings, log lines with fields and a Prometheus endpoint before they can be written.

Flags are declared once as typed values. argparse only splits the command line; conversion happens afterwards, so that all problems are found and reported with their flag or variable. Telemetry wraps logging and the OpenTelemetry Prometheus reader.

--- /dev/null
+++ b/acaciamoor/telemetry/__init__.py
@@ -0,0 +1,31 @@
+"""Logs and metrics of all programs."""
+
+from acaciamoor.telemetry.flags import DATA_CENTRE
+from acaciamoor.telemetry.flags import FLAGS
+from acaciamoor.telemetry.flags import HOST
+from acaciamoor.telemetry.flags import LOG_FLAGS
+from acaciamoor.telemetry.flags import LOG_FORMAT
+from acaciamoor.telemetry.flags import LOG_LEVEL
+from acaciamoor.telemetry.flags import LogFormat
+from acaciamoor.telemetry.flags import LogLevel
+from acaciamoor.telemetry.flags import METRICS_ADDRESS
+from acaciamoor.telemetry.logs import configure_logging
+from acaciamoor.telemetry.logs import Fields
+from acaciamoor.telemetry.logs import new_formatter
+from acaciamoor.telemetry.metrics import MetricsEndpoint
+
+__all__ = [
+    'DATA_CENTRE',
+    'FLAGS',
+    'HOST',
+    'LOG_FLAGS',
+    'LOG_FORMAT',
+    'LOG_LEVEL',
+    'METRICS_ADDRESS',
+    'Fields',
+    'LogFormat',
+    'LogLevel',
+    'MetricsEndpoint',
+    'configure_logging',
+    'new_formatter',
+]
--- /dev/null
+++ b/acaciamoor/telemetry/tests/test_telemetry.py
@@ -0,0 +1,63 @@
+"""Log lines and the metrics endpoint."""
+
+import io
+import json
+import logging
+import socket
+import unittest
+import urllib.request
+
+from acaciamoor import model
+from acaciamoor import settings
+from acaciamoor import telemetry
+
+FIELDS = telemetry.Fields('demo', data_centre='kgn-a', host='entry-1')
+
+
+def free_port() -> int:
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        return server.getsockname()[1]
+
+
+class LogsTest(unittest.TestCase):
+    def test_json_line_names_host_service_and_flow(self):
+        """Guards against log lines that cannot be tied to a flow."""
+        stream = io.StringIO()
+        parser = settings.SettingsParser('demo', '', telemetry.LOG_FLAGS)
+        root = logging.getLogger()
+        before, level = root.handlers[:], root.level
+        root.handlers.clear()
+        try:
+            telemetry.configure_logging(parser.parse([], {}), FIELDS, stream)
+            logging.getLogger('demo').info(
+                'routed %d', 3, extra={'service': 'desk', 'flow': 'ab12'}
+            )
+        finally:
+            root.handlers[:] = before
+            root.setLevel(level)
+        line = json.loads(stream.getvalue())
+        self.assertEqual(
+            ('routed 3', 'kgn-a', 'entry-1', 'desk', 'ab12'),
+            (
+                line['message'],
+                line['data_centre'],
+                line['host'],
+                line['service'],
+                line['flow'],
+            ),
+        )
+
+
+class MetricsTest(unittest.TestCase):
+    def test_counter_is_served_with_its_labels(self):
+        """Guards against an endpoint that serves another registry."""
+        address = model.Address('127.0.0.1', free_port())
+        with telemetry.MetricsEndpoint(FIELDS, address) as endpoint:
+            counter = endpoint.meter('demo').create_counter('demo_flows')
+            counter.add(2, {'service': 'desk'})
+            url = f'http://{address}/metrics'
+            with urllib.request.urlopen(url) as response:
+                text = response.read().decode()
+        self.assertIn('demo_flows_total{', text)
+        self.assertIn('service="desk"', text)
+        self.assertIn('data_centre="kgn-a"', text)
