Add object store client and platform stand-in

The operator and the relays need versions, conditional updates and watches over HTTP, with the outcome of a lost write resolved.

Watches resume after the last version and drop anything older.

--- /dev/null
+++ b/acaciamoor/platform/hosts.py
@@ -0,0 +1,95 @@
+"""The platform's lagging list of hosts."""
+
+import dataclasses
+import enum
+
+import pydantic
+
+from acaciamoor import findings
+from acaciamoor import model
+from acaciamoor.platform import objects
+
+KIND = 'hosts'
+
+
+class HostState(enum.Enum):
+    """State of a host as the platform knows it."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Host:
+    """An entry host; the platform may know its state late."""
+
+    host_id: model.HostId
+    data_centre: model.DataCentre
+    address: model.Address
+    state: HostState = HostState.LIVE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostList:
+    """All hosts at one version of the list."""
+
+    version: int
+    hosts_by_id: dict[model.HostId, Host]
+
+    def in_data_centre(
+        self, data_centre: model.DataCentre
+    ) -> tuple[Host, ...]:
+        """Return the hosts of `data_centre`, sorted by identifier."""
+        return tuple(
+            host
+            for _, host in sorted(self.hosts_by_id.items())
+            if host.data_centre == data_centre
+        )
+
+
+class HostDocument(pydantic.BaseModel):
+    """Border model of a host."""
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    data_centre: str = pydantic.Field(min_length=1)
+    address: str
+    state: HostState = HostState.LIVE
+
+
+def parse_host(stored: objects.StoredObject) -> Host:
+    """Return the host in `stored`.
+
+    Raises
+    ------
+    FindingsError
+        If the object is not a host.
+    """
+    try:
+        document = HostDocument.model_validate(dict(stored.value))
+        return Host(
+            model.HostId(stored.name),
+            model.DataCentre(document.data_centre),
+            model.Address.parse(document.address),
+            document.state,
+        )
+    except ValueError as error:
+        raise findings.FindingsError.of(
+            f'host {stored.name!r} is not valid',
+            [findings.Finding(f'{KIND}.{stored.name}', str(error))],
+        ) from error
+
+
+async def list_hosts(store: objects.ObjectStore) -> HostList:
+    """Return the hosts that the platform lists.
+
+    Raises
+    ------
+    StoreError
+        If the list cannot be read.
+    FindingsError
+        If an entry is not a host.
+    """
+    listing = await store.list(KIND)
+    hosts = [parse_host(stored) for stored in listing.objects]
+    return HostList(listing.version, {host.host_id: host for host in hosts})
--- /dev/null
+++ b/acaciamoor/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems; never installed on a site."""
--- /dev/null
+++ b/acaciamoor/standins/platform/__init__.py
@@ -0,0 +1,8 @@
+"""Stand-in for the platform: objects, watches, limits and faults."""
+
+from acaciamoor.standins.platform.faults import Faults
+from acaciamoor.standins.platform.memory import MemoryTransport
+from acaciamoor.standins.platform.server import PlatformServer
+from acaciamoor.standins.platform.table import ObjectTable
+
+__all__ = ['Faults', 'MemoryTransport', 'ObjectTable', 'PlatformServer']
--- /dev/null
+++ b/acaciamoor/standins/platform/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the platform stand-in."""
+
+import sys
+
+from acaciamoor.standins.platform import main
+
+sys.exit(main.main())
--- /dev/null
+++ b/acaciamoor/standins/platform/table.py
@@ -0,0 +1,122 @@
+"""Objects with versions, kept in memory."""
+
+import collections
+import dataclasses
+
+import msgspec
+
+from acaciamoor import platform
+
+# Changes that a watch can resume after.
+HISTORY_LIMIT = 1000
+
+
+class ObjectTable:
+    """State of the stand-in: one sequence of versions for all objects.
+
+    Examples
+    --------
+    >>> table = ObjectTable()
+    >>> write = platform.Write('services', 'desk', {}, ())
+    >>> table.write(write).version
+    1
+    >>> table.listing('services').version
+    1
+    """
+
+    def __init__(self) -> None:
+        self._version = 0
+        self._objects_by_name: dict[str, dict[str, platform.StoredObject]] = (
+            collections.defaultdict(dict)
+        )
+        self._events_by_kind: dict[
+            str, collections.deque[platform.WatchEvent]
+        ] = collections.defaultdict(
+            lambda: collections.deque(maxlen=HISTORY_LIMIT)
+        )
+        self._expired_by_kind: dict[str, int] = collections.defaultdict(int)
+        self._version_by_kind: dict[str, int] = collections.defaultdict(int)
+
+    def read(self, kind: str, name: str) -> platform.StoredObject:
+        """Return an object or raise NotFound."""
+        if name not in self._objects_by_name[kind]:
+            raise platform.NotFound(name)
+        return self._objects_by_name[kind][name]
+
+    def listing(self, kind: str) -> platform.Listing:
+        """Return a collection; its version is that of its last change."""
+        return platform.Listing(
+            self._version_by_kind[kind],
+            tuple(
+                stored
+                for _, stored in sorted(self._objects_by_name[kind].items())
+            ),
+        )
+
+    def write(self, write: platform.Write) -> platform.StoredObject:
+        """Store a value under the condition of `write`."""
+        if len(msgspec.json.encode(write.value)) > platform.VALUE_LIMIT_BYTES:
+            raise platform.Rejected(f'{write.name} is too large')
+        current = self._objects_by_name[write.kind].get(write.name)
+        if write.expected_version is None:
+            if current is not None:
+                raise platform.Conflict(write.name)
+        elif current is None:
+            raise platform.NotFound(write.name)
+        elif current.version != write.expected_version:
+            raise platform.Conflict(write.name)
+        return self._store(write)
+
+    def write_unconditionally(
+        self, write: platform.Write
+    ) -> platform.StoredObject:
+        """Store a value whatever the object's version is."""
+        return self._store(write)
+
+    def remove(self, kind: str, name: str, expected_version: int) -> None:
+        """Delete an object at `expected_version`."""
+        current = self.read(kind, name)
+        if current.version != expected_version:
+            raise platform.Conflict(name)
+        del self._objects_by_name[kind][name]
+        self._version += 1
+        gone = dataclasses.replace(current, version=self._version)
+        self._record(kind, platform.EventType.DELETED, gone)
+
+    def events_after(
+        self, kind: str, version: int
+    ) -> tuple[platform.WatchEvent, ...]:
+        """Return the changes after `version` or raise VersionExpired."""
+        if version < self._expired_by_kind[kind]:
+            raise platform.VersionExpired(f'{version} is too old')
+        return tuple(
+            event
+            for event in self._events_by_kind[kind]
+            if event.version > version
+        )
+
+    def expire(self, kind: str) -> None:
+        """Forget the changes that a watch could resume after."""
+        self._events_by_kind[kind].clear()
+        self._expired_by_kind[kind] = self._version_by_kind[kind]
+
+    def _store(self, write: platform.Write) -> platform.StoredObject:
+        self._version += 1
+        stored = platform.StoredObject(
+            write.kind, write.name, self._version, write.value, write.changes
+        )
+        self._objects_by_name[write.kind][write.name] = stored
+        self._record(write.kind, platform.EventType.PUT, stored)
+        return stored
+
+    def _record(
+        self,
+        kind: str,
+        event_type: platform.EventType,
+        stored: platform.StoredObject,
+    ) -> None:
+        self._version_by_kind[kind] = stored.version
+        events = self._events_by_kind[kind]
+        if len(events) == HISTORY_LIMIT:
+            self._expired_by_kind[kind] = events[0].version
+        events.append(platform.WatchEvent(event_type, stored.version, stored))
