Add border models of platform objects

Objects on the platform need one checked form for the operator, the relays and the tests.

Findings of single fields and of the service as a whole are reported together.

--- /dev/null
+++ b/acaciamoor/model/documents/__init__.py
@@ -0,0 +1,33 @@
+"""Border models of the objects on the platform."""
+
+from acaciamoor.model.documents.checks import Document
+from acaciamoor.model.documents.checks import parse
+from acaciamoor.model.documents.checks import VALUE_LIMIT_BYTES
+from acaciamoor.model.documents.checks import value_of
+from acaciamoor.model.documents.claims import AddressClaimDocument
+from acaciamoor.model.documents.claims import CLAIM_KIND
+from acaciamoor.model.documents.policies import PolicyDocument
+from acaciamoor.model.documents.services import parse_service
+from acaciamoor.model.documents.services import SERVICE_KIND
+from acaciamoor.model.documents.services import ServiceDocument
+from acaciamoor.model.documents.services import ServicePhase
+from acaciamoor.model.documents.statuses import DataCentreStatusDocument
+from acaciamoor.model.documents.statuses import STATUS_KIND
+from acaciamoor.model.documents.upstreams import UpstreamDocument
+
+__all__ = [
+    'CLAIM_KIND',
+    'SERVICE_KIND',
+    'STATUS_KIND',
+    'VALUE_LIMIT_BYTES',
+    'AddressClaimDocument',
+    'DataCentreStatusDocument',
+    'Document',
+    'PolicyDocument',
+    'ServiceDocument',
+    'ServicePhase',
+    'UpstreamDocument',
+    'parse',
+    'parse_service',
+    'value_of',
+]
--- /dev/null
+++ b/acaciamoor/model/documents/checks.py
@@ -0,0 +1,99 @@
+"""Turns the errors of border models into findings with their place."""
+
+import collections.abc
+import typing
+
+import pydantic
+
+from acaciamoor import findings
+from acaciamoor.model import address as addresses
+
+# Largest value that the platform takes, in bytes.
+VALUE_LIMIT_BYTES = 1_000_000
+D = typing.TypeVar('D', bound='Document')
+_UNKNOWN_FIELD = 'extra_forbidden'
+
+
+class Document(pydantic.BaseModel):
+    """Base of all border models: immutable, without unknown fields."""
+
+    model_config = pydantic.ConfigDict(
+        extra='forbid', frozen=True, validate_default=True
+    )
+
+
+def _checked_address(text: str) -> str:
+    return str(addresses.Address.parse(text))
+
+
+AddressText = typing.Annotated[str, pydantic.AfterValidator(_checked_address)]
+# Names are parts of object names and of metric labels.
+Name = typing.Annotated[
+    str,
+    pydantic.StringConstraints(
+        pattern=r'^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$'
+    ),
+]
+
+
+def parse(
+    document_type: type[D],
+    place: str,
+    value: collections.abc.Mapping[str, typing.Any],
+    problems: collections.abc.Iterable[findings.Finding] = (),
+) -> D:
+    """Return the document in `value`.
+
+    Parameters
+    ----------
+    document_type : type
+        Border model.
+    place : str
+        Path of the object, which starts the place of every finding.
+    value : Mapping
+        JSON value.
+    problems : iterable of Finding
+        Findings of other checks, reported together with those of the model.
+
+    Raises
+    ------
+    FindingsError
+        With all problems.
+    """
+    found = [*problems, *_size_findings(place, value)]
+    document = None
+    try:
+        document = document_type.model_validate(dict(value))
+    except pydantic.ValidationError as error:
+        found.extend(_findings(place, error))
+    if found or document is None:
+        raise findings.FindingsError.of(f'{place} is not valid', found)
+    return document
+
+
+def value_of(document: Document) -> dict[str, typing.Any]:
+    """Return the JSON value of `document`."""
+    return document.model_dump(mode='json')
+
+
+def _size_findings(
+    place: str, value: collections.abc.Mapping[str, typing.Any]
+) -> collections.abc.Iterator[findings.Finding]:
+    size = len(pydantic.TypeAdapter(dict).dump_json(dict(value)))
+    if size > VALUE_LIMIT_BYTES:
+        yield findings.Finding(
+            place,
+            f'{size} bytes are more than the {VALUE_LIMIT_BYTES} that the '
+            'platform takes',
+        )
+
+
+def _findings(
+    place: str, error: pydantic.ValidationError
+) -> collections.abc.Iterator[findings.Finding]:
+    for detail in error.errors():
+        path = '.'.join([place, *(str(part) for part in detail['loc'])])
+        message = detail['msg'].removeprefix('Value error, ')
+        if detail['type'] == _UNKNOWN_FIELD:
+            message = 'is not a known field'
+        yield findings.Finding(path, message)
--- a/acaciamoor/platform/objects.py
+++ b/acaciamoor/platform/objects.py
@@ -5,9 +5,11 @@
 import enum
 import typing
 
+from acaciamoor.model import documents
+
 Value = collections.abc.Mapping[str, typing.Any]
 # Largest value that the platform takes, in bytes.
-VALUE_LIMIT_BYTES = 1_000_000
+VALUE_LIMIT_BYTES = documents.VALUE_LIMIT_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
