Add service editor with address claims and naive baseline

Changes must not be lost in a race and no two services may hold one address, also when an operator dies between its writes.

The write of the service decides about a change. Claims are written before it and name the version that the change replaces, so a claim whose change cannot take effect any more is recognized and retired by whoever needs the address. A retired address waits for the status of its data centres. With unconditional writes (acaciamoor.naive.operator) two racing creations share an address; a test shows this.

--- a/acaciamoor/model/documents/services.py
+++ b/acaciamoor/model/documents/services.py
@@ -1,6 +1,7 @@
 """Border model of a service."""
 
 import collections.abc
+import datetime
 import enum
 import typing
 
@@ -42,10 +43,14 @@
     policy: policies.PolicyDocument = policies.PolicyDocument()
     phase: ServicePhase = ServicePhase.ACTIVE
     written_by: str = pydantic.Field('', max_length=200)
+    written_at: pydantic.AwareDatetime | None = None
 
     @classmethod
     def of(
-        cls, service: model.Service, written_by: str = ''
+        cls,
+        service: model.Service,
+        written_by: str = '',
+        written_at: datetime.datetime | None = None,
     ) -> 'ServiceDocument':
         """Return the document of a service that is in force."""
         return cls(
@@ -58,6 +63,7 @@
             },
             policy=policies.PolicyDocument.of(service.policy),
             written_by=written_by,
+            written_at=written_at,
         )
 
     def to_service(self, version: int) -> model.Service | None:
@@ -92,7 +98,10 @@
         return frozenset(model.Address.parse(text) for text in texts)
 
     def in_phase(
-        self, phase: ServicePhase, written_by: str
+        self,
+        phase: ServicePhase,
+        written_by: str,
+        written_at: datetime.datetime | None = None,
     ) -> 'ServiceDocument':
         """Return the service in another phase; a tombstone has no upstreams.
 
@@ -107,6 +116,7 @@
         changes: dict[str, object] = {
             'phase': phase,
             'written_by': written_by,
+            'written_at': written_at,
         }
         if phase is ServicePhase.DELETED:
             changes['upstreams_by_id'] = {}
--- /dev/null
+++ b/acaciamoor/naive/operator.py
@@ -0,0 +1,63 @@
+"""Baseline of the operator API: writes without a condition.
+
+Every write replaces whatever is stored, and a lost reply is reported as a
+failure without effect. This is how a tool behaves that reads an object,
+changes it and puts it back.
+"""
+
+import collections.abc
+import dataclasses
+
+import acaciamoor.platform as platform
+
+
+class UnconditionalTransport:
+    """Transport whose writes take effect whatever the object's version is.
+
+    Parameters
+    ----------
+    transport : Transport
+        Makes the calls.
+    """
+
+    def __init__(self, transport: platform.Transport) -> None:
+        self._transport = transport
+
+    async def read(self, kind: str, name: str) -> platform.StoredObject:
+        """Return an object."""
+        return await self._transport.read(kind, name)
+
+    async def read_all(self, kind: str) -> platform.Listing:
+        """Return all objects of a kind."""
+        return await self._transport.read_all(kind)
+
+    async def write(self, write: platform.Write) -> platform.StoredObject:
+        """Store a value on top of the version that exists."""
+        while True:
+            version = await self._version(write)
+            current = dataclasses.replace(write, expected_version=version)
+            try:
+                return await self._transport.write(current)
+            except (platform.Conflict, platform.NotFound):
+                continue
+            except platform.OutcomeUnknown as error:
+                raise platform.Unavailable(str(error)) from error
+
+    async def remove(
+        self, kind: str, name: str, expected_version: int
+    ) -> None:
+        """Delete an object at `expected_version`."""
+        await self._transport.remove(kind, name, expected_version)
+
+    def stream(
+        self, kind: str, after_version: int
+    ) -> collections.abc.AsyncIterator[platform.WatchEvent]:
+        """Yield changes until the connection ends."""
+        return self._transport.stream(kind, after_version)
+
+    async def _version(self, write: platform.Write) -> int | None:
+        try:
+            stored = await self._transport.read(write.kind, write.name)
+        except platform.NotFound:
+            return None
+        return stored.version
--- /dev/null
+++ b/acaciamoor/operator/__init__.py
@@ -0,0 +1,31 @@
+"""Operators' API: every change is a conditional write to the platform."""
+
+from acaciamoor.operator.changes import AddUpstream
+from acaciamoor.operator.changes import Change
+from acaciamoor.operator.changes import ChangePolicy
+from acaciamoor.operator.changes import CreateService
+from acaciamoor.operator.changes import DeleteService
+from acaciamoor.operator.changes import DrainUpstream
+from acaciamoor.operator.changes import RemoveUpstream
+from acaciamoor.operator.editor import ServiceEditor
+from acaciamoor.operator.outcomes import Accepted
+from acaciamoor.operator.outcomes import Conflicted
+from acaciamoor.operator.outcomes import Outcome
+from acaciamoor.operator.outcomes import Refused
+from acaciamoor.operator.outcomes import Unknown
+
+__all__ = [
+    'Accepted',
+    'AddUpstream',
+    'Change',
+    'ChangePolicy',
+    'Conflicted',
+    'CreateService',
+    'DeleteService',
+    'DrainUpstream',
+    'Outcome',
+    'Refused',
+    'RemoveUpstream',
+    'ServiceEditor',
+    'Unknown',
+]
--- /dev/null
+++ b/acaciamoor/operator/tests/builders.py
@@ -0,0 +1,143 @@
+"""Test data for the operator API."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+
+from acaciamoor import clock as clocks
+from acaciamoor import model
+from acaciamoor.model import documents
+from acaciamoor.model import status
+from acaciamoor.model.tests import builders
+import acaciamoor.operator as operator
+import acaciamoor.platform as platform
+from acaciamoor.platform.tests import builders as platform_builders
+from acaciamoor.standins.platform import memory
+from acaciamoor.standins.platform import table as tables
+
+Wrap = collections.abc.Callable[[platform.Transport], platform.Transport]
+
+
+def unchanged(transport: platform.Transport) -> platform.Transport:
+    """Return the transport as it is."""
+    return transport
+
+
+async def yield_to_others(write: platform.Write) -> None:
+    """Let other operators run before a write."""
+    await asyncio.sleep(0)
+
+
+@dataclasses.dataclass
+class Site:
+    """A platform with several operators.
+
+    Parameters
+    ----------
+    wrap : Callable
+        Wraps the transport of every operator, for naive variants.
+    """
+
+    wrap: Wrap = unchanged
+    table: tables.ObjectTable = dataclasses.field(
+        default_factory=tables.ObjectTable
+    )
+    clock: clocks.ManualClock = dataclasses.field(
+        default_factory=clocks.ManualClock
+    )
+
+    def new_operator(
+        self, seed: int = 1, plan: memory.Plan | None = None
+    ) -> tuple[operator.ServiceEditor, memory.MemoryTransport]:
+        """Return an operator and the transport that it uses."""
+        transport = memory.MemoryTransport(self.table, plan)
+        store = platform.PlatformStore(
+            self.wrap(transport),
+            random.Random(seed),
+            platform_builders.no_sleep,
+        )
+        return operator.ServiceEditor(store, self.clock), transport
+
+    def editor(self, seed: int = 1) -> operator.ServiceEditor:
+        """Return an operator without faults."""
+        return self.new_operator(seed)[0]
+
+    def service(self, name: str = 'order-desk') -> model.Service | None:
+        """Return the service that is in force."""
+        stored = self.table.read(documents.SERVICE_KIND, name)
+        document = documents.parse_service(name, stored.value)
+        return document.to_service(stored.version)
+
+    def confirm(
+        self, version: int, data_centre: str = builders.DATA_CENTRE
+    ) -> None:
+        """Write the status of a data centre."""
+        document = documents.DataCentreStatusDocument.of(
+            status.DataCentreStatus(model.DataCentre(data_centre), version)
+        )
+        self.table.write_unconditionally(
+            platform.Write(
+                documents.STATUS_KIND,
+                data_centre,
+                documents.value_of(document),
+                (),
+            )
+        )
+
+
+def creation(
+    name: str = 'order-desk',
+    port: int = 8001,
+    ports: tuple[int, ...] = (9001,),
+) -> operator.CreateService:
+    """Return a creation with one upstream for each of `ports`."""
+    service = model.Service(
+        service_id=model.ServiceId(1),
+        name=name,
+        address=model.Address('127.0.0.1', port),
+        upstreams_by_id={
+            model.UpstreamId(f'desk-{item}'): builders.upstream(
+                f'desk-{item}', port=item
+            )
+            for item in ports
+        },
+    )
+    return operator.CreateService(
+        name=name,
+        requested_by='ann',
+        document=documents.ServiceDocument.of(service),
+    )
+
+
+def addition(
+    port: int, name: str = 'order-desk', expected_version: int = 0
+) -> operator.AddUpstream:
+    """Return the addition of an upstream at `port`."""
+    return operator.AddUpstream(
+        name=name,
+        requested_by='bob',
+        expected_version=expected_version,
+        upstream=builders.upstream(f'desk-{port}', port=port),
+    )
+
+
+def drain(
+    port: int, name: str = 'order-desk', expected_version: int = 0
+) -> operator.DrainUpstream:
+    """Return the drain order for the upstream at `port`."""
+    return operator.DrainUpstream(
+        name=name,
+        requested_by='cho',
+        expected_version=expected_version,
+        upstream_id=model.UpstreamId(f'desk-{port}'),
+    )
+
+
+def removal(port: int, name: str = 'order-desk') -> operator.RemoveUpstream:
+    """Return the removal of the upstream at `port`."""
+    return operator.RemoveUpstream(
+        name=name,
+        requested_by='cho',
+        upstream_id=model.UpstreamId(f'desk-{port}'),
+    )
--- /dev/null
+++ b/acaciamoor/operator/tests/test_claims.py
@@ -0,0 +1,193 @@
+"""Address claims under races, crashes and cut data centres."""
+
+import asyncio
+import unittest
+
+from acaciamoor.model import documents
+import acaciamoor.naive.operator as naive_operator
+import acaciamoor.operator as operator
+from acaciamoor.operator import claims
+from acaciamoor.operator.tests import builders
+import acaciamoor.platform as platform
+
+DESK = 'order-desk'
+BENCH = 'quote-bench'
+
+
+class Crash(BaseException):
+    """Ends an operator between two of its writes."""
+
+
+def crash_before(kind: str, phase: str = ''):
+    """Return a hook that crashes before a write of `kind`."""
+
+    async def before_write(write: platform.Write) -> None:
+        if write.kind == kind and write.value.get('phase', phase) == phase:
+            raise Crash
+
+    return before_write
+
+
+def holders(site: builders.Site) -> list[str]:
+    """Return every address in use, once for each service that uses it."""
+    found = []
+    for stored in site.table.listing(documents.SERVICE_KIND).objects:
+        document = documents.parse_service(stored.name, stored.value)
+        if document.phase is documents.ServicePhase.ACTIVE:
+            found.extend(claims.names_of(document))
+    return sorted(found)
+
+
+class ClaimTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.site = builders.Site()
+
+    def assert_refused(self, outcome, place):
+        self.assertIsInstance(outcome, operator.Refused)
+        self.assertEqual(
+            [place], sorted({item.place for item in outcome.findings})
+        )
+
+    async def race(self, wrap=builders.unchanged):
+        site = builders.Site(wrap)
+        changes = [
+            builders.creation(DESK, 8001, (9001,)),
+            builders.creation(BENCH, 8001, (9002,)),
+        ]
+        operators = []
+        for seed in (1, 2):
+            editor, transport = site.new_operator(seed)
+            transport.before_write = builders.yield_to_others
+            operators.append(editor)
+        outcomes = await asyncio.gather(
+            *(
+                editor.execute(change)
+                for editor, change in zip(operators, changes, strict=True)
+            )
+        )
+        return site, outcomes
+
+    async def test_racing_services_do_not_share_an_address(self):
+        """Guards against two services on one address after a race."""
+        site, outcomes = await self.race()
+        accepted = [
+            item for item in outcomes if isinstance(item, operator.Accepted)
+        ]
+        self.assertGreaterEqual(1, len(accepted))
+        self.assertEqual(sorted(set(holders(site))), holders(site))
+
+    async def test_unconditional_writes_share_an_address(self):
+        """Guards against a race that the test above would not notice."""
+        site, _ = await self.race(naive_operator.UnconditionalTransport)
+        self.assertNotEqual(sorted(set(holders(site))), holders(site))
+
+    async def test_address_in_use_is_refused_with_its_place(self):
+        """Guards against taking over the address of a live service."""
+        editor = self.site.editor()
+        await editor.execute(builders.creation(DESK, 8001, (9001,)))
+        for port, ports, place in (
+            (8001, (9002,), '127.0.0.1:8001'),
+            (8002, (9001,), '127.0.0.1:9001'),
+            (9001, (9002,), '127.0.0.1:9001'),
+        ):
+            with self.subTest(port=port, ports=ports):
+                outcome = await editor.execute(
+                    builders.creation(BENCH, port, ports)
+                )
+                self.assert_refused(outcome, place)
+        # The claims of the refused services are free again.
+        outcome = await editor.execute(builders.creation(BENCH, 8002, (9002,)))
+        self.assertIsInstance(outcome, operator.Accepted)
+
+    async def test_removed_address_waits_for_its_data_centre(self):
+        """Guards against packets of the old service at the new one."""
+        editor = self.site.editor()
+        await editor.execute(builders.creation(DESK, 8001, (9001, 9002)))
+        await editor.execute(builders.creation(BENCH, 8002, (9003,)))
+        await editor.execute(builders.drain(9001))
+        removed = await editor.execute(builders.removal(9001))
+        self.site.confirm(removed.version - 1)
+        self.site.confirm(removed.version + 100, 'kgn-b')
+        taking = builders.addition(9001, BENCH)
+        self.assert_refused(await editor.execute(taking), '127.0.0.1:9001')
+        self.site.confirm(removed.version)
+        outcome = await editor.execute(taking)
+        self.assertIsInstance(outcome, operator.Accepted)
+
+    async def test_own_address_returns_without_waiting(self):
+        """Guards against a rule that blocks the return of an upstream."""
+        editor = self.site.editor()
+        await editor.execute(builders.creation(DESK, 8001, (9001, 9002)))
+        await editor.execute(builders.drain(9001))
+        await editor.execute(builders.removal(9001))
+        outcome = await editor.execute(builders.addition(9001))
+        self.assertIsInstance(outcome, operator.Accepted)
+
+    async def test_crash_after_removal_keeps_the_address_retired(self):
+        """Guards against a free address because its retirement was lost."""
+        editor, transport = self.site.new_operator()
+        await editor.execute(builders.creation(DESK, 8001, (9001, 9002)))
+        await editor.execute(builders.creation(BENCH, 8002, (9003,)))
+        drained = await editor.execute(builders.drain(9001))
+        self.site.confirm(drained.version)
+        transport.before_write = crash_before(documents.CLAIM_KIND)
+        with self.assertRaises(Crash):
+            await editor.execute(builders.removal(9001))
+        transport.before_write = None
+        self.assertNotIn('127.0.0.1-9001', holders(self.site))
+        taking = builders.addition(9001, BENCH)
+        self.assert_refused(await editor.execute(taking), '127.0.0.1:9001')
+        self.site.confirm(self.site.service().version)
+        outcome = await editor.execute(taking)
+        self.assertIsInstance(outcome, operator.Accepted)
+
+    async def test_crash_during_creation_is_cleaned_up(self):
+        """Guards against addresses and names lost to a dead operator."""
+        editor, transport = self.site.new_operator()
+        transport.before_write = crash_before(
+            documents.SERVICE_KIND, documents.ServicePhase.ACTIVE.value
+        )
+        with self.assertRaises(Crash):
+            await editor.execute(builders.creation(DESK, 8001, (9001,)))
+        transport.before_write = None
+        other = builders.creation(BENCH, 8001, (9002,))
+        self.assert_refused(await editor.execute(other), '127.0.0.1:8001')
+        again = builders.creation(DESK, 8002, (9003,))
+        self.assertIsInstance(await editor.execute(again), operator.Conflicted)
+        self.site.clock.advance(claims.ABANDONED_AFTER)
+        refused = await editor.execute(other)
+        self.assertIn('must reach', refused.findings[0].message)
+        self.site.confirm(self._version())
+        outcome = await editor.execute(other)
+        self.assertIsInstance(outcome, operator.Accepted)
+        outcome = await editor.execute(again)
+        self.assertIsInstance(outcome, operator.Accepted)
+
+    def _version(self):
+        return self.site.table.listing(documents.SERVICE_KIND).version
+
+    async def test_paused_creation_cannot_finish_after_its_claims_went(self):
+        """Guards against an operator that resumes without its claims."""
+        paused, resumed = asyncio.Event(), asyncio.Event()
+        editor, transport = self.site.new_operator(2)
+
+        async def pause(write):
+            if write.value.get('phase') == 'active':
+                paused.set()
+                await resumed.wait()
+
+        transport.before_write = pause
+        task = asyncio.create_task(
+            editor.execute(builders.creation(DESK, 8001, (9001,)))
+        )
+        await paused.wait()
+        self.site.clock.advance(claims.ABANDONED_AFTER)
+        other = self.site.editor(3)
+        taking = builders.creation(BENCH, 8001, (9002,))
+        await other.execute(taking)
+        self.site.confirm(self._version())
+        outcome = await other.execute(taking)
+        self.assertIsInstance(outcome, operator.Accepted)
+        resumed.set()
+        self.assertIsInstance(await task, operator.Conflicted)
+        self.assertEqual(sorted(set(holders(self.site))), holders(self.site))
