--- /dev/null
+++ b/acaciamoor/operator/tests/test_fuzz_operator.py
@@ -0,0 +1,173 @@
+"""Random changes by several operators under faults, against an oracle."""
+
+import asyncio
+import itertools
+import os
+import random
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from acaciamoor import model
+import acaciamoor.naive.operator as naive_operator
+import acaciamoor.operator as operator
+from acaciamoor.operator import claims
+from acaciamoor.operator.tests import builders
+from acaciamoor.operator.tests import fuzzing
+import acaciamoor.platform as platform
+from acaciamoor.platform.tests import builders as platform_builders
+
+LONG = os.environ.get('ACACIAMOOR_FUZZ_PROFILE') == 'long'
+SETTINGS = hypothesis.settings(
+    derandomize=not LONG,
+    max_examples=2000 if LONG else 60,
+    stateful_step_count=30 if LONG else 15,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+NAMES = ('desk', 'bench')
+PORTS = tuple(range(9001, 9007))
+SEEDS = strategies.integers(0, 2**32)
+
+
+def creations(name: str) -> strategies.SearchStrategy[operator.Change]:
+    """Return creations whose addresses may be those of other services."""
+    return strategies.lists(
+        strategies.sampled_from(PORTS), min_size=2, max_size=4, unique=True
+    ).map(lambda ports: builders.creation(name, ports[0], tuple(ports[1:])))
+
+
+def changes(
+    service: model.Service | None, name: str
+) -> strategies.SearchStrategy[operator.Change]:
+    """Return changes that fit the state of the service now."""
+    if service is None:
+        return creations(name)
+    ports_by_state = {True: [], False: []}
+    for item in service.upstreams_by_id.values():
+        ports_by_state[item.takes_new_work].append(item.address.port)
+    choices = [
+        strategies.sampled_from(PORTS).map(
+            lambda port: builders.addition(port, name)
+        ),
+        strategies.sampled_from(ports_by_state[True]).map(
+            lambda port: builders.drain(port, name)
+        ),
+        strategies.integers(1, 3).map(
+            lambda limit: operator.ChangePolicy(
+                name=name, fields={'queue_limit': limit}
+            )
+        ),
+        strategies.just(operator.DeleteService(name=name)),
+    ]
+    if ports_by_state[False]:
+        choices.append(
+            strategies.sampled_from(ports_by_state[False]).map(
+                lambda port: builders.removal(port, name)
+            )
+        )
+    return strategies.one_of(choices)
+
+
+class OperatorMachine(stateful.RuleBasedStateMachine):
+    """Several operators on one platform."""
+
+    wrap = staticmethod(builders.unchanged)
+
+    def __init__(self):
+        super().__init__()
+        self.site = builders.Site(self.wrap, fuzzing.WatchedTable())
+        self.oracle = fuzzing.Oracle(self.site.table)
+        self.late_writes = []
+        self.store_seeds = itertools.count()
+        self.runner = asyncio.Runner()
+
+    def teardown(self):
+        self.runner.close()
+
+    @stateful.initialize()
+    def create(self):
+        for name, *ports in (
+            ('desk', 9001, 9002, 9003),
+            ('bench', 9004, 9005),
+        ):
+            change = builders.creation(name, ports[0], tuple(ports[1:]))
+            self.runner.run(self._run([(change, 0)]))
+        self.oracle.skip()
+
+    @stateful.rule(data=strategies.data(), count=strategies.integers(1, 3))
+    def change(self, data, count):
+        batch = []
+        for _ in range(count):
+            name = data.draw(strategies.sampled_from(NAMES))
+            change = data.draw(changes(self.site.service(name), name))
+            batch.append((change, data.draw(SEEDS)))
+        outcomes = self.runner.run(self._run(batch))
+        problems = self.oracle.check(outcomes)
+        assert not problems, (problems, outcomes)
+
+    @stateful.rule(data_centre=strategies.sampled_from(['kgn-a', 'kgn-b']))
+    def confirm(self, data_centre):
+        version = self.site.table.listing('services').version
+        self.site.confirm(version, data_centre)
+
+    @stateful.rule()
+    def wait(self):
+        self.site.clock.advance(claims.ABANDONED_AFTER)
+
+    @stateful.precondition(lambda self: self.late_writes)
+    @stateful.rule()
+    def deliver_late_write(self):
+        write = self.late_writes.pop(0)
+        try:
+            self.site.table.write(write)
+        except platform.StoreError:
+            return
+        problems = self.oracle.check([])
+        assert not problems, problems
+
+    async def _run(self, batch):
+        return await asyncio.gather(
+            *(self._execute(change, seed) for change, seed in batch)
+        )
+
+    async def _execute(self, change, seed):
+        transport = fuzzing.FaultyTransport(
+            self.site.table, seed, self.late_writes
+        )
+        store = platform.PlatformStore(
+            self.wrap(transport),
+            # Change identifiers must differ between operators.
+            random.Random(next(self.store_seeds)),
+            platform_builders.no_sleep,
+        )
+        editor = operator.ServiceEditor(store, self.site.clock)
+        try:
+            return change, await editor.execute(change)
+        except fuzzing.Crash:
+            return change, None
+
+
+class NaiveMachine(OperatorMachine):
+    """The same operators with unconditional writes."""
+
+    wrap = staticmethod(naive_operator.UnconditionalTransport)
+
+
+class FuzzOperatorTest(unittest.TestCase):
+    def test_operators_under_faults(self):
+        """Guards against lost, reverted or doubled changes and addresses."""
+        stateful.run_state_machine_as_test(OperatorMachine, settings=SETTINGS)
+
+    def test_oracle_catches_unconditional_writes(self):
+        """Guards against an oracle that accepts everything."""
+        with self.assertRaises(AssertionError):
+            stateful.run_state_machine_as_test(
+                NaiveMachine,
+                settings=hypothesis.settings(
+                    SETTINGS, phases=[hypothesis.Phase.generate]
+                ),
+            )
