Add operators' API over gRPC and acaciamoorctl

Operators need to create, change, drain, list, describe and watch services, and to see what became of each change.

The common name of the client certificate is the writer of a change.

--- /dev/null
+++ b/acaciamoor/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators."""
--- /dev/null
+++ b/acaciamoor/ctl/__main__.py
@@ -0,0 +1,7 @@
+"""Runs ``acaciamoorctl``."""
+
+import sys
+
+from acaciamoor.ctl import main
+
+sys.exit(main.main())
--- /dev/null
+++ b/acaciamoor/ctl/main.py
@@ -0,0 +1,161 @@
+"""The program ``acaciamoorctl``."""
+
+import asyncio
+import collections.abc
+import sys
+
+import grpc
+
+from acaciamoor.ctl import client
+from acaciamoor.ctl import commands
+from acaciamoor.ctl import flags
+from acaciamoor.ctl import output
+from acaciamoor.operator import operator_pb2
+from acaciamoor.operator import operator_pb2_grpc
+import acaciamoor.settings as settings
+
+PROGRAM = 'acaciamoorctl'
+_EPILOG = (
+    'exit codes: 0 success or accepted, 1 failure, 2 bad settings, '
+    '3 refused or conflict, 4 outcome unknown'
+)
+_CODES_BY_OUTCOME = {
+    'accepted': settings.ExitCode.SUCCESS,
+    'refused': settings.ExitCode.REFUSED,
+    'conflict': settings.ExitCode.REFUSED,
+    'unknown': settings.ExitCode.OUTCOME_UNKNOWN,
+}
+
+
+def parse(
+    arguments: collections.abc.Sequence[str] | None = None,
+    environment: collections.abc.Mapping[str, str] | None = None,
+) -> settings.Settings:
+    """Return the settings of the program.
+
+    Raises
+    ------
+    FindingsError
+        With all problems of the settings.
+    """
+    parser = settings.SettingsParser(
+        PROGRAM,
+        'Creates and changes services.',
+        flags.COMMON_FLAGS,
+        flags.COMMANDS,
+        _EPILOG,
+    )
+    return parser.parse(arguments, environment)
+
+
+async def run(given: settings.Settings) -> settings.ExitCode:
+    """Carry out the command and return the exit code."""
+    timeout = given[flags.TIMEOUT].total_seconds()
+    async with client.open_channel(given) as channel:
+        try:
+            # Nothing has been sent if this fails, so it is a failure and not
+            # an unknown outcome.
+            await asyncio.wait_for(channel.channel_ready(), timeout)
+        except TimeoutError:
+            _complain(f'{given[flags.API_ADDRESS]} cannot be reached')
+            return settings.ExitCode.FAILURE
+        stub = operator_pb2_grpc.OperatorStub(channel)
+        if given.command in commands.CHANGES_BY_COMMAND:
+            return await _change(stub, given, timeout)
+        if given.command in commands.READS_BY_COMMAND:
+            return await _read(stub, given, timeout)
+        return await _watch(stub, given)
+
+
+async def _change(
+    stub: operator_pb2_grpc.OperatorStub,
+    given: settings.Settings,
+    timeout: float,
+) -> settings.ExitCode:
+    method, build = commands.CHANGES_BY_COMMAND[given.command]
+    try:
+        reply = await getattr(stub, method)(build(given), timeout=timeout)
+    except grpc.aio.AioRpcError as error:
+        message = f'the reply was lost: {error.code().name} {error.details()}'
+        reply = operator_pb2.ChangeReply(
+            unknown=operator_pb2.OutcomeUnknown(message=message)
+        )
+    if given[flags.OUTPUT] is flags.Output.JSON:
+        print(output.as_json(reply))
+    else:
+        _print_outcome(reply)
+    return _CODES_BY_OUTCOME[reply.WhichOneof('outcome')]
+
+
+def _print_outcome(reply: operator_pb2.ChangeReply) -> None:
+    outcome = reply.WhichOneof('outcome')
+    if outcome == 'accepted':
+        print(f'accepted: version {reply.accepted.version}')
+    elif outcome == 'refused':
+        print('refused:')
+        for finding in reply.refused.findings:
+            print(f'  {finding.place}: {finding.message}')
+    elif outcome == 'conflict':
+        writer = reply.conflict.written_by or 'unnamed'
+        print(f'conflict: version {reply.conflict.version} by {writer} won')
+    else:
+        print(f'outcome unknown: {reply.unknown.message}')
+
+
+async def _read(
+    stub: operator_pb2_grpc.OperatorStub,
+    given: settings.Settings,
+    timeout: float,
+) -> settings.ExitCode:
+    method, build = commands.READS_BY_COMMAND[given.command]
+    try:
+        reply = await getattr(stub, method)(build(given), timeout=timeout)
+    except grpc.aio.AioRpcError as error:
+        _complain(f'{error.code().name}: {error.details()}')
+        return settings.ExitCode.FAILURE
+    if given[flags.OUTPUT] is flags.Output.JSON:
+        print(output.as_json(reply))
+    else:
+        upstreams = given.command == 'list' and given[flags.SHOW_UPSTREAMS]
+        print(output.as_table(reply, upstreams))
+    return settings.ExitCode.SUCCESS
+
+
+async def _watch(
+    stub: operator_pb2_grpc.OperatorStub, given: settings.Settings
+) -> settings.ExitCode:
+    request = operator_pb2.WatchServicesRequest(
+        after_version=given[flags.AFTER_VERSION]
+    )
+    try:
+        async for event in stub.WatchServices(request):
+            for line in _event_lines(given, event):
+                print(line, flush=True)
+    except grpc.aio.AioRpcError as error:
+        _complain(f'{error.code().name}: {error.details()}')
+    return settings.ExitCode.FAILURE
+
+
+def _event_lines(
+    given: settings.Settings, event: operator_pb2.ServiceEvent
+) -> collections.abc.Iterator[str]:
+    if given[flags.OUTPUT] is flags.Output.JSON:
+        yield output.as_json(event)
+        return
+    yield '  '.join(str(cell) for cell in output.event_row(event))
+    if given[flags.SHOW_UPSTREAMS]:
+        for row in output.upstream_rows(event.service):
+            yield '  ' + '  '.join(str(cell) for cell in row)
+
+
+def _complain(message: str) -> None:
+    print(f'{PROGRAM}: {message}', file=sys.stderr)
+
+
+def main() -> int:
+    """Run the program and return the exit code of the process."""
+    return settings.run_program(lambda: asyncio.run(run(parse())))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/acaciamoor/operator/server.py
@@ -0,0 +1,199 @@
+"""gRPC service of the operators' API."""
+
+import collections.abc
+import logging
+import typing
+
+import grpc
+
+from acaciamoor import findings
+from acaciamoor import model
+from acaciamoor.model import documents
+from acaciamoor.operator import changes
+from acaciamoor.operator import editor as editors
+from acaciamoor.operator import messages
+from acaciamoor.operator import operator_pb2
+from acaciamoor.operator import operator_pb2_grpc
+from acaciamoor.operator import outcomes
+from acaciamoor.operator import repository
+from acaciamoor.operator import reuse
+import acaciamoor.platform as platform
+
+_LOG = logging.getLogger(__name__)
+_COMMON_NAME = 'x509_common_name'
+# Called with the type of a change and that of its outcome.
+Count = collections.abc.Callable[[str, str], None]
+
+
+class OperatorServicer(operator_pb2_grpc.OperatorServicer):
+    """Answers operators; the method names are those of the schema.
+
+    Parameters
+    ----------
+    editor : ServiceEditor
+        Carries out changes.
+    store : ObjectStore
+        The platform, for reading.
+    count : Callable
+        Counts outcomes.
+    """
+
+    def __init__(
+        self,
+        editor: editors.ServiceEditor,
+        store: platform.ObjectStore,
+        count: Count = lambda change, outcome: None,
+    ) -> None:
+        self._editor = editor
+        self._store = store
+        self._services = repository.ServiceRepository(store)
+        self._count = count
+
+    async def CreateService(self, request, context):
+        """Create a service."""
+        return await self._change(request, context)
+
+    async def ChangePolicy(self, request, context):
+        """Change the rules for new work."""
+        return await self._change(request, context)
+
+    async def AddUpstream(self, request, context):
+        """Add an upstream."""
+        return await self._change(request, context)
+
+    async def DrainUpstream(self, request, context):
+        """Give no new work to an upstream."""
+        return await self._change_upstream(
+            changes.DrainUpstream, request, context
+        )
+
+    async def RemoveUpstream(self, request, context):
+        """Remove a draining upstream."""
+        return await self._change_upstream(
+            changes.RemoveUpstream, request, context
+        )
+
+    async def DeleteService(self, request, context):
+        """Delete a service."""
+        return await self._change(request, context)
+
+    async def ListServices(self, request, context):
+        """Return all services in force."""
+        try:
+            version, found = await self._services.list()
+        except (platform.StoreError, findings.FindingsError) as error:
+            await _abort(context, error)
+        return operator_pb2.ListServicesReply(
+            version=version,
+            services=[
+                messages.service(item.document, item.version) for item in found
+            ],
+        )
+
+    async def DescribeService(self, request, context):
+        """Return one service."""
+        try:
+            found = await self._services.find(request.name)
+        except (platform.StoreError, findings.FindingsError) as error:
+            await _abort(context, error)
+        if found is None or not found.in_force:
+            await context.abort(
+                grpc.StatusCode.NOT_FOUND, f'{request.name} does not exist'
+            )
+        return messages.service(found.document, found.version)
+
+    async def WatchServices(self, request, context):
+        """Yield services as they change."""
+        events = self._store.watch(
+            documents.SERVICE_KIND, request.after_version
+        )
+        async for event in events:
+            if event.stored is not None:
+                yield _event(event)
+
+    async def GetStatus(self, request, context):
+        """Return the version in force in each data centre."""
+        try:
+            version = await self._services.version()
+            found = await reuse.read_statuses(self._store)
+        except (platform.StoreError, findings.FindingsError) as error:
+            await _abort(context, error)
+        return operator_pb2.GetStatusReply(
+            version=version,
+            data_centres=[
+                operator_pb2.DataCentreStatus(
+                    data_centre=name, version=item.version, hosts=item.hosts
+                )
+                for name, item in sorted(found.items())
+            ],
+        )
+
+    async def _change(
+        self, request: typing.Any, context: grpc.aio.ServicerContext
+    ) -> operator_pb2.ChangeReply:
+        try:
+            change = messages.change_of(request, _caller(context))
+        except findings.FindingsError as error:
+            return messages.reply(outcomes.Refused(error.findings))
+        return await self._execute(change)
+
+    async def _change_upstream(
+        self,
+        change_type: type[changes.DrainUpstream | changes.RemoveUpstream],
+        request: operator_pb2.UpstreamRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operator_pb2.ChangeReply:
+        target = request.target
+        change = change_type(
+            name=target.name,
+            expected_version=target.expected_version,
+            requested_by=_caller(context) or target.requested_by,
+            upstream_id=model.UpstreamId(request.upstream_id),
+        )
+        return await self._execute(change)
+
+    async def _execute(
+        self, change: changes.Change
+    ) -> operator_pb2.ChangeReply:
+        outcome = await self._editor.execute(change)
+        names = (type(change).__name__, type(outcome).__name__)
+        self._count(*names)
+        _LOG.info(
+            '%s by %s: %s',
+            names[0],
+            change.requested_by or 'unnamed',
+            names[1],
+            extra={
+                'service': change.name,
+                'version': getattr(outcome, 'version', None),
+            },
+        )
+        return messages.reply(outcome)
+
+
+def _caller(context: grpc.aio.ServicerContext) -> str:
+    """Return the common name of the client certificate, or ''."""
+    names = context.auth_context().get(_COMMON_NAME, ())
+    return b''.join(names[:1]).decode(errors='replace')
+
+
+def _event(event: platform.WatchEvent) -> operator_pb2.ServiceEvent:
+    stored = event.stored
+    message = operator_pb2.ServiceEvent(
+        version=event.version, name=stored.name
+    )
+    if event.event_type is platform.EventType.PUT:
+        document = documents.parse_service(stored.name, stored.value)
+        if document.phase is documents.ServicePhase.ACTIVE:
+            message.service.CopyFrom(messages.service(document, event.version))
+    return message
+
+
+async def _abort(
+    context: grpc.aio.ServicerContext, error: Exception
+) -> typing.NoReturn:
+    if isinstance(error, findings.FindingsError):
+        text = '; '.join(str(finding) for finding in error.findings)
+        await context.abort(grpc.StatusCode.DATA_LOSS, text)
+    await context.abort(grpc.StatusCode.UNAVAILABLE, str(error))
+    raise AssertionError('abort always raises')
