--- /dev/null
+++ b/acaciamoor/flows/messages.py
@@ -0,0 +1,132 @@
+"""Decisions about packets and messages between the owners of records."""
+
+import dataclasses
+import enum
+
+from acaciamoor import model
+from acaciamoor import views
+
+# Sender, key identifier, message authentication code, service and upstream
+# names, and the Cap'n Proto framing around them.
+MESSAGE_OVERHEAD_BYTES = 128
+FLOW_BYTES = 8
+NEED_BYTES = 24
+
+
+class HopPurpose(enum.IntEnum):
+    """Why a packet is passed to another balancer."""
+
+    # Store the record on the owners, then forward to the upstream.
+    RECORD = 0
+    # Find the record along the owners.
+    RESOLVE = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hop:
+    """State of a packet on its way through the owners of its flow.
+
+    Parameters
+    ----------
+    purpose : HopPurpose
+        What the receiver does.
+    position : int
+        Owners that were passed before; bounds the number of hops.
+    upstream_id : UpstreamId or None
+        For `HopPurpose.RECORD`, the upstream to record; None lets the
+        receiver choose it.
+    """
+
+    purpose: HopPurpose
+    position: int
+    upstream_id: model.UpstreamId | None = None
+
+
+class RefusalReason(enum.Enum):
+    """Why a packet is refused; the value travels in the envelope."""
+
+    UNKNOWN_SERVICE = 'unknown-service'
+    UPSTREAM_LOST = 'upstream-lost'
+    NO_UPSTREAM = 'no-upstream'
+    NO_QUORUM = 'no-quorum'
+    NOT_FRESH = 'not-fresh'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToUpstream:
+    """Forward the packet to an upstream of its service."""
+
+    upstream: model.Upstream
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToPeer:
+    """Pass the packet to another balancer."""
+
+    host_id: model.HostId
+    hop: Hop
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Answer the caller that the packet goes nowhere."""
+
+    reason: RefusalReason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PutRecords:
+    """Send records of one service and upstream to one host.
+
+    Parameters
+    ----------
+    host_id : HostId
+        Receiver.
+    service_id : ServiceId
+        Service of the flows.
+    upstream_id : UpstreamId
+        Upstream of all of the flows.
+    flows : tuple of int
+        Flow identifiers.
+    pinned : bool
+        Whether the receiver keeps the records although it does not own them,
+        because the view that showed the flows as exceptions is dropped.
+    """
+
+    host_id: model.HostId
+    service_id: model.ServiceId
+    upstream_id: model.UpstreamId
+    flows: tuple[int, ...]
+    pinned: bool = False
+
+    @property
+    def encoded_bytes(self) -> int:
+        """Upper bound of the encoded size, in bytes."""
+        return MESSAGE_OVERHEAD_BYTES + FLOW_BYTES * len(self.flows)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewNeed:
+    """Oldest view of a service that the sender needs."""
+
+    service_id: model.ServiceId
+    version: views.ViewVersion
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewNeeds:
+    """Tell all live hosts which views the sender needs.
+
+    A service that is not listed has a single view at the sender.
+    """
+
+    needs: tuple[ViewNeed, ...]
+
+    @property
+    def encoded_bytes(self) -> int:
+        """Upper bound of the encoded size, in bytes."""
+        return MESSAGE_OVERHEAD_BYTES + NEED_BYTES * len(self.needs)
+
+
+Decision = ToUpstream | ToPeer | Refuse
+Message = PutRecords | ViewNeeds
--- /dev/null
+++ b/acaciamoor/views/view.py
@@ -0,0 +1,77 @@
+"""What one version of a service means for new flows in a data centre."""
+
+import dataclasses
+
+from acaciamoor import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class ViewVersion:
+    """Version of a view; versions are compared field by field.
+
+    Parameters
+    ----------
+    configuration : int
+        Version of the service in the platform.
+    health : int
+        Version of the health of its upstreams in this data centre.
+    """
+
+    configuration: int
+    health: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceView:
+    """Upstreams of a service in one data centre at one version.
+
+    Parameters
+    ----------
+    service_id : ServiceId
+        The service.
+    version : ViewVersion
+        Configuration and health that the view was made from.
+    upstreams : tuple of Upstream
+        All upstreams that exist, draining ones included, sorted by
+        identifier.
+    unhealthy : frozenset of UpstreamId
+        Upstreams that get no new flow; their open flows stay.
+    lost : frozenset of UpstreamId
+        Dead upstreams; their open flows are refused.
+    """
+
+    service_id: model.ServiceId
+    version: ViewVersion
+    upstreams: tuple[model.Upstream, ...]
+    unhealthy: frozenset[model.UpstreamId] = frozenset()
+    lost: frozenset[model.UpstreamId] = frozenset()
+
+    @classmethod
+    def of(
+        cls,
+        service: model.Service,
+        data_centre: model.DataCentre,
+        health: int = 0,
+        unhealthy: frozenset[model.UpstreamId] = frozenset(),
+        lost: frozenset[model.UpstreamId] = frozenset(),
+    ) -> 'ServiceView':
+        """Return the view of `service` for the hosts of `data_centre`."""
+        return cls(
+            service.service_id,
+            ViewVersion(service.version, health),
+            service.upstreams_in(data_centre),
+            unhealthy,
+            lost,
+        )
+
+    @property
+    def candidates(self) -> tuple[model.Upstream, ...]:
+        """Upstreams that take new flows."""
+        excluded = self.unhealthy | self.lost
+        return tuple(
+            upstream
+            for upstream in self.upstreams
+            if upstream.takes_new_work
+            and upstream.weight > 0.0
+            and upstream.upstream_id not in excluded
+        )
