Sort the imports of the flow router

Cause: the import order of ruff and hacking contradict each other when a module imports both from the top package and from its own package. Change: import the modules of other packages by their full path.

--- a/acaciamoor/flows/router.py
+++ b/acaciamoor/flows/router.py
@@ -4,11 +4,12 @@
 import datetime
 
 from acaciamoor import clock as clocks
-from acaciamoor import model
-from acaciamoor import views
-from acaciamoor import wire
 from acaciamoor.flows import messages
 from acaciamoor.flows import settings as router_settings
+from acaciamoor.model import identifiers
+from acaciamoor.model import members as membership
+from acaciamoor.views import view as service_views
+from acaciamoor.wire import envelope as envelopes
 
 
 class FlowRouter:
@@ -30,18 +31,18 @@
 
     def __init__(
         self,
-        host_id: model.HostId,
+        host_id: identifiers.HostId,
         clock: clocks.Clock,
         settings: router_settings.RouterSettings | None = None,
     ) -> None:
         self.host_id = host_id
 
-    def set_members(self, members: model.MembershipView) -> None:
+    def set_members(self, members: membership.MembershipView) -> None:
         """Take in the hosts of the data centre."""
         raise NotImplementedError
 
     def apply_view(
-        self, view: views.ServiceView, age: datetime.timedelta
+        self, view: service_views.ServiceView, age: datetime.timedelta
     ) -> bool:
         """Take in a view that was published `age` ago.
 
@@ -59,19 +60,19 @@
 
     def retained_views(
         self,
-    ) -> tuple[tuple[views.ServiceView, datetime.timedelta], ...]:
+    ) -> tuple[tuple[service_views.ServiceView, datetime.timedelta], ...]:
         """Return all views with their ages, for the snapshot of a peer."""
         raise NotImplementedError
 
-    def remove_service(self, service_id: model.ServiceId) -> None:
+    def remove_service(self, service_id: identifiers.ServiceId) -> None:
         """Forget a deleted service with its records."""
         raise NotImplementedError
 
     def route(
         self,
-        service_id: model.ServiceId,
+        service_id: identifiers.ServiceId,
         flow: int,
-        kind: wire.EnvelopeKind,
+        kind: envelopes.EnvelopeKind,
         hop: messages.Hop | None = None,
     ) -> messages.Decision:
         """Return where a packet goes.
@@ -92,7 +93,7 @@
         raise NotImplementedError
 
     def receive_needs(
-        self, sender: model.HostId, message: messages.ViewNeeds
+        self, sender: identifiers.HostId, message: messages.ViewNeeds
     ) -> None:
         """Take in the oldest views that a peer needs."""
         raise NotImplementedError
