--- a/acaciamoor/flows/settings.py
+++ b/acaciamoor/flows/settings.py
@@ -2,6 +2,21 @@
 
 import dataclasses
 
+# Seconds that a record lives after its last refresh.
+RECORD_TTL = 60
+# Seconds after which a packet goes through both owners again. Packets of an
+# open flow are at most 15 s apart, so its records are refreshed at least
+# every 20 s and survive two lost keepalives.
+REFRESH_INTERVAL = 5
+# Seconds that a record stays after CLOSE, for packets that overtook it.
+CLOSE_LINGER = 3
+# Seconds that a pinned record lives. No packet refreshes it, and owners do
+# not announce the end of its flow.
+PINNED_TTL = 24 * 3600
+# Seconds after a change of members in which the third host of a chain is
+# asked; by then every open flow was refreshed through its new owners.
+HANDOVER_WINDOW = 60
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouterSettings:
--- a/acaciamoor/views/__init__.py
+++ b/acaciamoor/views/__init__.py
@@ -3,6 +3,7 @@
 from acaciamoor.views.history import ACTIVATION_DELAY
 from acaciamoor.views.history import ACTIVATION_INTERVAL
 from acaciamoor.views.history import FRESHNESS_LIMIT
+from acaciamoor.views.history import RetainedView
 from acaciamoor.views.history import RETENTION
 from acaciamoor.views.history import VIEW_LIMIT
 from acaciamoor.views.history import ViewHistory
@@ -15,6 +16,7 @@
     'FRESHNESS_LIMIT',
     'RETENTION',
     'VIEW_LIMIT',
+    'RetainedView',
     'ServiceView',
     'ViewHistory',
     'ViewVersion',
