--- a/acaciamoor/flows/__init__.py
+++ b/acaciamoor/flows/__init__.py
@@ -11,6 +11,7 @@
 from acaciamoor.flows.messages import ToUpstream
 from acaciamoor.flows.messages import ViewNeed
 from acaciamoor.flows.messages import ViewNeeds
+from acaciamoor.flows.owners import OwnerTable
 from acaciamoor.flows.records import FlowRecords
 from acaciamoor.flows.router import FlowRouter
 from acaciamoor.flows.settings import RouterSettings
@@ -22,6 +23,7 @@
     'Hop',
     'HopPurpose',
     'Message',
+    'OwnerTable',
     'PutRecords',
     'RefusalReason',
     'Refuse',
--- a/acaciamoor/flows/handover.py
+++ b/acaciamoor/flows/handover.py
@@ -241,12 +241,13 @@
 
 def pin_chooser(
     flows: service_flows.ServiceFlows,
+    excess: int,
     peers: collections.abc.Iterable[identifiers.HostId],
     now: int,
 ) -> Chooser:
-    """Return the choice of records that need the oldest view, for all.
+    """Return the choice of records that need the `excess` oldest views.
 
-    The records are pinned here as well.
+    They go to all peers and are pinned here as well.
     """
     receivers = tuple(peers)
 
@@ -254,7 +255,8 @@
         keys: numpy.ndarray, indexes: numpy.ndarray, expiries: numpy.ndarray
     ) -> typing.Iterator[Choice]:
         open_flows = (expiries >= now) & (expiries <= now + _UNPINNED_TTL)
-        needing = flows.needs_oldest(keys, indexes) & open_flows
+        count = min(excess, len(flows.history) - 1)
+        needing = flows.contradicted(count, keys, indexes) & open_flows
         rows = numpy.flatnonzero(needing)
         for row in rows.tolist():
             flows.records.put(
--- a/acaciamoor/flows/records.py
+++ b/acaciamoor/flows/records.py
@@ -192,7 +192,7 @@
                 table.clear(slot)
                 removed += 1
         if self._old is not None:
-            self._move()
+            self._move(max(slots, _MOVED_SLOTS))
         elif table.used < _MIN_LOAD * size and size > 1 << _INITIAL_BITS:
             self._resize(63 - table.shift)
         return removed
@@ -239,9 +239,9 @@
         self._table = _Table(bits)
         self._generation += 1
 
-    def _move(self) -> None:
+    def _move(self, slots: int = _MOVED_SLOTS) -> None:
         old = self._old
-        for _ in range(_MOVED_SLOTS):
+        for _ in range(slots):
             slot = self._moved
             # Closing the gap may bring another record to this slot.
             while old.upstreams[slot]:
--- a/acaciamoor/flows/service.py
+++ b/acaciamoor/flows/service.py
@@ -35,20 +35,27 @@
     decisions : list
         For each upstream index, what happens with its packets: the newest
         view decides, without an activation delay.
-    clear_of_oldest : bool
-        Whether a complete scan found no record that needs the oldest view.
+    unneeded : int
+        Number of the oldest views that no record here needs, as far as a
+        complete scan has found.
+    scanned : bool
+        Whether a scan was completed since the views last changed.
+    epoch : int
+        Number of changes of the views.
     """
 
     def __init__(self) -> None:
         self.history = histories.ViewHistory()
         self.records = flow_records.FlowRecords()
-        self.agreed = array.array('i')
-        self.active = array.array('i')
-        self.base = array.array('i')
+        self.agreed = array.array('h')
+        self.active = array.array('h')
+        self.base = array.array('h')
         self.decisions: list[messages.Decision] = []
-        self.clear_of_oldest = False
-        # Agreement of all views but the oldest, for `needs_oldest`.
-        self.agreed_without_oldest = numpy.zeros(0, dtype=numpy.int32)
+        self.unneeded = 0
+        self.scanned = False
+        self.epoch = 0
+        # For each number of oldest views, the agreement without them.
+        self._agreed_without: list[numpy.ndarray] = []
         self._indexes_by_key: dict[_UpstreamKey, int] = {}
         self._indexes_by_id: dict[identifiers.UpstreamId, int] = {}
         self._ids: list[identifiers.UpstreamId] = []
@@ -66,6 +73,7 @@
         """Take in a view; return whether anything changed."""
         if not self.history.add(view, age, now):
             return False
+        self._forget_scan()
         self.rebuild(now)
         return True
 
@@ -76,16 +84,17 @@
 
     def rebuild(self, now: datetime.timedelta) -> None:
         """Compute all tables from the views."""
-        entries = self.history.entries
-        defaults = [self._defaults_of(entry.view) for entry in entries]
-        versions = [entry.view.version for entry in entries]
-        self._defaults_by_version = dict(zip(versions, defaults, strict=True))
-        self.agreed = _to_array(_agreement(defaults))
-        self.agreed_without_oldest = _agreement(defaults[1:] or defaults)
-        self._in_force = self._versions_in_force(now)
-        active, base = self._in_force
-        self.active = _to_array(self._defaults_by_version[active])
-        self.base = _to_array(self._defaults_by_version[base])
+        views = [entry.view for entry in self.history.entries]
+        defaults = {view.version: self._defaults_of(view) for view in views}
+        self._defaults_by_version = defaults
+        self._agreed_without = _agreements(list(defaults.values()))
+        self.agreed = _to_array(self._agreed_without[0])
+        self._in_force = active, base = self._versions_in_force(now)
+        if len(views) == 1:
+            self.active = self.base = self.agreed
+        else:
+            self.active = _to_array(defaults[active])
+            self.base = _to_array(defaults[base])
         self._decide()
 
     def upstream_id(self, index: int) -> identifiers.UpstreamId:
@@ -103,31 +112,46 @@
     def store(self, flow: int, index: int, expires: int) -> None:
         """Store a record.
 
-        A record that arrives after the scan may need the oldest view.
+        A record that arrives after the scan may need an old view.
         """
         self.records.put(flow, index, expires)
-        if self.clear_of_oldest:
-            remaining = self.agreed_without_oldest[buckets.bucket_of(flow)]
-            if remaining not in (EXCEPTION, index):
-                self.clear_of_oldest = False
-
-    def drop_oldest(self, now: datetime.timedelta) -> None:
-        """Forget the oldest view."""
-        self.history.drop_oldest()
-        self.clear_of_oldest = False
+        if self.unneeded:
+            remaining = self._agreed_without[self.unneeded]
+            if remaining[buckets.bucket_of(flow)] not in (EXCEPTION, index):
+                self.unneeded = 0
+
+    def drop_oldest(self, count: int, now: datetime.timedelta) -> None:
+        """Forget the oldest views."""
+        for _ in range(count):
+            self.history.drop_oldest()
+        self._forget_scan()
         self.rebuild(now)
 
-    def needs_oldest(
-        self, flows: numpy.ndarray, indexes: numpy.ndarray
+    def drop_merged(self, limit: int, now: datetime.timedelta) -> None:
+        """Forget views that no host used while there are over `limit`."""
+        before = len(self.history)
+        while len(self.history) > limit and self.history.drop_merged():
+            pass
+        if len(self.history) != before:
+            self._forget_scan()
+            self.rebuild(now)
+
+    def contradicted(
+        self, count: int, flows: numpy.ndarray, indexes: numpy.ndarray
     ) -> numpy.ndarray:
-        """Return which records the remaining views would contradict.
+        """Return which records need one of the `count` oldest views.
 
-        Without the oldest view such a flow would not be an exception, and
-        every host would send it to another upstream.
+        Without them such a flow would not be an exception, and every host
+        would send it to another upstream.
         """
-        remaining = self.agreed_without_oldest[buckets.buckets_of(flows)]
+        remaining = self._agreed_without[count][buckets.buckets_of(flows)]
         return (remaining != EXCEPTION) & (remaining != indexes)
 
+    def _forget_scan(self) -> None:
+        self.unneeded = 0
+        self.scanned = False
+        self.epoch += 1
+
     def _versions_in_force(
         self, now: datetime.timedelta
     ) -> tuple[service_views.ViewVersion, ...]:
@@ -144,11 +168,11 @@
             self._register(upstream)
         shares = buckets.shares_of(view.candidates)
         if not shares:
-            return numpy.full(buckets.BUCKETS, EXCEPTION, dtype=numpy.int32)
+            return numpy.full(buckets.BUCKETS, EXCEPTION, dtype=numpy.int16)
         by_id = {item.upstream_id: item for item in view.candidates}
         indexes = numpy.array(
             [self._register(by_id[name]) for name, _ in shares],
-            dtype=numpy.int32,
+            dtype=numpy.int16,
         )
         return indexes[buckets.choose_all(shares)]
 
@@ -172,13 +196,15 @@
                 self.decisions[index] = messages.ToUpstream(upstream)
 
 
-def _agreement(defaults: list[numpy.ndarray]) -> numpy.ndarray:
-    first = defaults[0]
-    agreed = first.copy()
-    for other in defaults[1:]:
-        agreed[other != first] = EXCEPTION
-    return agreed
+def _agreements(defaults: list[numpy.ndarray]) -> list[numpy.ndarray]:
+    """Return for each position the agreement of the tables from there on."""
+    agreed = defaults[-1]
+    agreements = [agreed]
+    for table in reversed(defaults[:-1]):
+        agreed = numpy.where(agreed == table, agreed, numpy.int16(EXCEPTION))
+        agreements.append(agreed)
+    return agreements[::-1]
 
 
 def _to_array(table: numpy.ndarray) -> array.array:
-    return array.array('i', table.astype(numpy.int32).tobytes())
+    return array.array('h', table.tobytes())
--- a/acaciamoor/flows/upkeep.py
+++ b/acaciamoor/flows/upkeep.py
@@ -9,6 +9,7 @@
 from acaciamoor.flows import service as service_flows
 from acaciamoor.flows import settings as router_settings
 from acaciamoor.model import identifiers
+from acaciamoor.views import history as histories
 
 FlowsByService = dict[identifiers.ServiceId, service_flows.ServiceFlows]
 
@@ -94,9 +95,10 @@
         for service_id, flows in flows_by_service.items():
             if len(flows.history) > 1:
                 flows.advance(now)
-                self._limit_views(service_id, flows, now, peers)
+                flows.drop_merged(histories.VIEW_LIMIT, now)
                 if service_id not in self._pinning:
                     self.keeper.step(service_id, flows, now, peers)
+                    self._limit_views(service_id, flows, now, peers)
             if len(flows.records):
                 _sweep(flows, second, elapsed)
         due: list[messages.Message] = []
@@ -120,28 +122,24 @@
         now: datetime.timedelta,
         peers: tuple[identifiers.HostId, ...],
     ) -> None:
-        """Make room if a service has too many views.
+        """Send the records that need a view over the limit to all hosts.
 
-        Views that no host used go first. Otherwise the records that need the
-        oldest view are sent to all hosts, which makes it unnecessary.
+        That makes the view unnecessary.
         """
-        if not retention.is_over_limit(flows):
-            return
-        if flows.history.drop_merged():
-            flows.rebuild(now)
-            return
-        if service_id in self._pinning or flows.clear_of_oldest:
+        excess = retention.excess_views(flows, now)
+        if not excess:
             return
+
+        def done() -> None:
+            self._pinning.discard(service_id)
+            flows.scanned = False
+
         self._pinning.add(service_id)
-        second = int(now.total_seconds())
+        chooser = handover.pin_chooser(
+            flows, excess, peers, int(now.total_seconds())
+        )
         self._sender.add(
-            handover.Scan(
-                service_id,
-                flows,
-                handover.pin_chooser(flows, peers, second),
-                pinned=True,
-                done=lambda: self._pinning.discard(service_id),
-            )
+            handover.Scan(service_id, flows, chooser, pinned=True, done=done)
         )
 
 
--- /dev/null
+++ b/acaciamoor/naive/__init__.py
@@ -0,0 +1,1 @@
+"""Naive variants that tests and experiments compare with."""
--- a/acaciamoor/views/buckets.py
+++ b/acaciamoor/views/buckets.py
@@ -37,8 +37,8 @@
 SLACK = 0.02
 # Entry of a bucket for which no candidate exists.
 NO_CANDIDATE = -1
-# Tables are shared by views with the same candidates.
-_CACHED_TABLES = 4096
+# Tables are shared by views with the same candidates; 16 KB each.
+_CACHED_TABLES = 256
 _MIX_1 = numpy.uint64(0xBF58476D1CE4E5B9)
 _MIX_2 = numpy.uint64(0x94D049BB133111EB)
 
@@ -88,7 +88,7 @@
     Returns
     -------
     numpy.ndarray
-        Read-only array of ``int32`` with `BUCKETS` entries.
+        Read-only array of ``int16`` with `BUCKETS` entries.
     """
     return _choose_all(shares, slack)
 
@@ -100,7 +100,7 @@
     else:
         scores = _weighted_scores(shares)
         choice = _match(scores, _capacities(shares, slack))
-    table = choice.astype(numpy.int32)
+    table = choice.astype(numpy.int16)
     table.setflags(write=False)
     return table
 
