--- /dev/null
+++ b/acaciamoor/naive/__init__.py
@@ -0,0 +1,1 @@
+"""Naive baselines, used by differential tests and the bench."""
