Add the request ledger

An order that is retransmitted through another balancer, or copied by the network, must run at most once.

The age in a datagram lacks its transit time, so coverage is compared with a margin of 2 s. A full ledger runs nothing that it cannot record.

--- a/acaciamoor/requests/ledger.py
+++ b/acaciamoor/requests/ledger.py
@@ -1,15 +1,34 @@
 """Record of requests that makes non-idempotent work run at most once."""
 
+import collections
 import dataclasses
 import datetime
 
 from acaciamoor import clock as clocks
 from acaciamoor import model
+from acaciamoor.requests import answers
 from acaciamoor.requests import verdict as verdicts
 from acaciamoor.requests import work as works
 
 # A caller's timeout is at most 30 s, so no copy of a request is sent later.
 RETENTION = datetime.timedelta(seconds=30)
+# The age in a datagram does not contain its transit time. A datagram that
+# was delayed by up to this time cannot make its first attempt look younger
+# than the coverage.
+COVERAGE_MARGIN = datetime.timedelta(seconds=2)
+
+_State = verdicts.RequestState
+_Verdict = verdicts.Verdict
+_IN_PROGRESS = verdicts.Admission(_Verdict.IN_PROGRESS)
+_ASK_PEER = verdicts.Admission(_Verdict.ASK_PEER, works.Reason.NO_RECORD)
+_RUN_FIRST = verdicts.Admission(_Verdict.RUN, first_run=True)
+_RUN_AGAIN = verdicts.Admission(_Verdict.RUN)
+_REFUSED = verdicts.Admission(_Verdict.NOT_RUN, works.Reason.REFUSED_BEFORE)
+_ACTIVE = frozenset([_State.QUEUED, _State.BOUND])
+
+
+def _unknown(reason: works.Reason) -> verdicts.Admission:
+    return verdicts.Admission(_Verdict.OUTCOME_UNKNOWN, reason)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,28 +49,77 @@
     cached_answer_parts: int = 8192
 
 
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    state: verdicts.RequestState
+    attempt: int
+    changed_at: datetime.timedelta
+    upstream_id: model.UpstreamId | None = None
+    bound_attempt: int = -1
+
+
 class RequestLedger:
     """Requests of one service and shard at one balancer.
 
+    The record of a request is kept until `RETENTION` after its last attempt
+    or change. Without a record, attempt 0 is new. A later attempt of
+    non-idempotent work may already have run at another placer; it runs only
+    if this placer's *coverage* reaches back past the first attempt.
+
     Parameters
     ----------
     clock : clocks.Clock
         Source of monotonic time.
     limits : LedgerLimits
         Bounds of the memory.
+
+    See Also
+    --------
+    acaciamoor.placement.Placer : Drives the states of the records.
+
+    Examples
+    --------
+    >>> ledger = RequestLedger(clocks.ManualClock())
+    >>> order = works.Work(
+    ...     flow=1,
+    ...     request=1,
+    ...     attempt=0,
+    ...     idempotent=False,
+    ...     age=datetime.timedelta(0),
+    ...     deadline=datetime.timedelta(seconds=1),
+    ... )
+    >>> ledger.admit(order).verdict
+    <Verdict.RUN: 'run'>
+    >>> ledger.admit(order).verdict
+    <Verdict.IN_PROGRESS: 'in progress'>
     """
 
     def __init__(
         self, clock: clocks.Clock, limits: LedgerLimits | None = None
     ) -> None:
-        raise NotImplementedError
+        self._clock = clock
+        self._limits = limits or LedgerLimits()
+        self._coverage_since = clock.monotonic()
+        self._entries_by_key: dict[works.RequestKey, _Entry] = {}
+        self._expiry: collections.deque[
+            tuple[datetime.timedelta, works.RequestKey]
+        ] = collections.deque()
+        self._answers = answers.AnswerCache(self._limits.cached_answer_parts)
+
+    def __len__(self) -> int:
+        return len(self._entries_by_key)
+
+    @property
+    def coverage_since(self) -> datetime.timedelta:
+        """Monotonic time back to which the absence of a record is proof."""
+        return self._coverage_since
 
     def set_coverage(self, since: datetime.timedelta) -> None:
         """Trust the absence of a record only for requests after `since`.
 
         The limit only moves forward.
         """
-        raise NotImplementedError
+        self._coverage_since = max(self._coverage_since, since)
 
     def admit(
         self,
@@ -59,7 +127,27 @@
         origin: works.Origin = works.Origin.CALLER,
     ) -> verdicts.Admission:
         """Decide about a datagram; `Verdict.RUN` creates a queued record."""
-        raise NotImplementedError
+        entry = self._entries_by_key.get(work.key)
+        if entry is None:
+            return self._admit_new(work, origin)
+        if entry.state in _ACTIVE:
+            self._touch(entry, work)
+            return _IN_PROGRESS
+        newer = work.attempt > entry.attempt
+        self._touch(entry, work)
+        if entry.state is _State.COMPLETED:
+            return self._repeat(work.key)
+        if entry.state is _State.REFUSED:
+            return _REFUSED
+        if work.idempotent and newer and origin is not works.Origin.PEER:
+            entry.state = _State.QUEUED
+            return _RUN_AGAIN
+        return _unknown(works.Reason.NO_RECORD)
+
+    def state(self, key: works.RequestKey) -> verdicts.RequestState | None:
+        """Return the state on record, or None without a record."""
+        entry = self._entries_by_key.get(key)
+        return entry.state if entry else None
 
     def bind(
         self,
@@ -68,7 +156,9 @@
         attempt: int,
     ) -> None:
         """Record that `attempt` is about to be sent to an upstream."""
-        raise NotImplementedError
+        entry = self._change(key, _State.BOUND)
+        entry.upstream_id = upstream_id
+        entry.bound_attempt = attempt
 
     def is_current(
         self,
@@ -77,26 +167,90 @@
         attempt: int,
     ) -> bool:
         """Return whether exactly this attempt is bound to this upstream."""
-        raise NotImplementedError
+        entry = self._entries_by_key.get(key)
+        return (
+            entry is not None
+            and entry.state is _State.BOUND
+            and entry.upstream_id == upstream_id
+            and entry.bound_attempt == attempt
+        )
 
     def requeue(self, key: works.RequestKey) -> None:
         """Record that the upstream refused the request before running it."""
-        raise NotImplementedError
+        self._change(key, _State.QUEUED).upstream_id = None
 
     def complete(
         self, key: works.RequestKey, answer: tuple[object, ...]
     ) -> None:
         """Record the answer, which is kept in a bounded cache."""
-        raise NotImplementedError
+        self._change(key, _State.COMPLETED)
+        self._answers.put(key, answer)
 
     def refuse(self, key: works.RequestKey) -> None:
         """Leave a tombstone: the request has not run and never will."""
-        raise NotImplementedError
+        self._change(key, _State.REFUSED)
 
     def lose(self, key: works.RequestKey) -> None:
         """Record that nobody knows whether the request ran."""
-        raise NotImplementedError
+        self._change(key, _State.UNKNOWN)
 
     def expire(self) -> None:
         """Drop records `RETENTION` after the last attempt or change."""
-        raise NotImplementedError
+        now = self._clock.monotonic()
+        while self._expiry and self._expiry[0][0] <= now:
+            _, key = self._expiry.popleft()
+            entry = self._entries_by_key[key]
+            due = entry.changed_at + RETENTION
+            if entry.state in _ACTIVE:
+                due = now + RETENTION
+            if due > now:
+                self._expiry.append((due, key))
+            else:
+                del self._entries_by_key[key]
+                self._answers.discard(key)
+
+    def _admit_new(
+        self, work: works.Work, origin: works.Origin
+    ) -> verdicts.Admission:
+        if origin is works.Origin.PEER:
+            return _unknown(works.Reason.NO_RECORD)
+        if origin is works.Origin.STALE and not work.idempotent:
+            return _unknown(works.Reason.PLACER_PAUSED)
+        if not self._may_run(work, origin):
+            return _ASK_PEER
+        if len(self._entries_by_key) >= self._limits.entries:
+            return _unknown(works.Reason.LEDGER_FULL)
+        now = self._clock.monotonic()
+        self._entries_by_key[work.key] = _Entry(
+            _State.QUEUED, work.attempt, now
+        )
+        self._expiry.append((now + RETENTION, work.key))
+        if work.idempotent and work.attempt > 0:
+            return _RUN_AGAIN
+        return _RUN_FIRST
+
+    def _may_run(self, work: works.Work, origin: works.Origin) -> bool:
+        if work.idempotent or work.attempt == 0:
+            return True
+        if origin is works.Origin.HAND_OVER:
+            return True
+        first_attempt = self._clock.monotonic() - work.age
+        return first_attempt - COVERAGE_MARGIN > self._coverage_since
+
+    def _repeat(self, key: works.RequestKey) -> verdicts.Admission:
+        answer = self._answers.get(key)
+        if answer is None:
+            return _unknown(works.Reason.ANSWER_EXPIRED)
+        return verdicts.Admission(_Verdict.REPEAT_ANSWER, answer=answer)
+
+    def _touch(self, entry: _Entry, work: works.Work) -> None:
+        entry.attempt = max(entry.attempt, work.attempt)
+        entry.changed_at = self._clock.monotonic()
+
+    def _change(
+        self, key: works.RequestKey, state: verdicts.RequestState
+    ) -> _Entry:
+        entry = self._entries_by_key[key]
+        entry.state = state
+        entry.changed_at = self._clock.monotonic()
+        return entry
--- /dev/null
+++ b/acaciamoor/requests/tests/test_ledger.py
@@ -0,0 +1,135 @@
+"""At most once, outcomes and the limits of the ledger."""
+
+import unittest
+
+from acaciamoor import clock as clocks
+from acaciamoor import requests
+from acaciamoor.requests import ledger as ledgers
+from acaciamoor.requests.tests import builders
+
+SECOND = builders.SECOND
+Origin = requests.Origin
+Verdict = requests.Verdict
+
+
+class LedgerTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        self.ledger = requests.RequestLedger(
+            self.clock,
+            requests.LedgerLimits(entries=8, cached_answer_parts=2),
+        )
+
+    def verdict(self, origin=Origin.CALLER, **fields):
+        return self.ledger.admit(builders.work(**fields), origin).verdict
+
+    def answered(self, request, parts=1):
+        work = builders.work(request=request)
+        self.ledger.admit(work)
+        self.ledger.bind(work.key, 'desk-1', 0)
+        self.ledger.complete(work.key, ('answer',) * parts)
+
+    def test_later_attempt_without_record_needs_coverage(self):
+        """Guards against an order that ran at the previous placer, too."""
+        self.clock.advance(10 * SECOND)
+        self.assertEqual(
+            Verdict.ASK_PEER, self.verdict(attempt=1, age=9 * SECOND)
+        )
+        self.assertEqual(
+            Verdict.RUN,
+            self.verdict(
+                request=2, attempt=1, age=9 * SECOND, idempotent=True
+            ),
+        )
+        self.assertEqual(
+            Verdict.RUN, self.verdict(request=3, attempt=1, age=SECOND)
+        )
+        self.ledger.set_coverage(9 * SECOND)
+        self.assertEqual(
+            Verdict.ASK_PEER,
+            self.verdict(request=4, attempt=1, age=SECOND),
+        )
+
+    def test_coverage_allows_for_the_transit_time(self):
+        """Guards against a delayed datagram that looks younger than it is."""
+        self.clock.advance(10 * SECOND)
+        self.assertEqual(
+            Verdict.ASK_PEER,
+            self.verdict(attempt=1, age=10 * SECOND - ledgers.COVERAGE_MARGIN),
+        )
+
+    def test_duplicate_in_progress_does_not_run(self):
+        """Guards against running a retransmission beside the original."""
+        self.assertEqual(Verdict.RUN, self.verdict())
+        self.assertEqual(Verdict.IN_PROGRESS, self.verdict(attempt=1))
+
+    def test_completed_request_repeats_a_bounded_answer(self):
+        """Guards against a cache without bounds and a second run."""
+        self.answered(1, parts=2)
+        repeated = self.ledger.admit(builders.work(request=1, attempt=1))
+        self.assertEqual(('answer', 'answer'), repeated.answer)
+        self.answered(2)
+        self.assertEqual(
+            Verdict.OUTCOME_UNKNOWN, self.verdict(request=1, attempt=2)
+        )
+
+    def test_refused_request_leaves_a_tombstone(self):
+        """Guards against running a copy of what was refused as not run."""
+        work = builders.work(idempotent=True)
+        self.ledger.admit(work)
+        self.ledger.refuse(work.key)
+        self.assertEqual(
+            Verdict.NOT_RUN, self.verdict(attempt=1, idempotent=True)
+        )
+
+    def test_unknown_outcome_runs_again_only_if_idempotent(self):
+        """Guards against a second run of an order that may have run."""
+        for idempotent, expected in (
+            (False, Verdict.OUTCOME_UNKNOWN),
+            (True, Verdict.RUN),
+        ):
+            fields = {'request': 5 + idempotent, 'idempotent': idempotent}
+            self.assertEqual(Verdict.RUN, self.verdict(**fields))
+            self.ledger.lose(builders.work(**fields).key)
+            self.assertEqual(Verdict.OUTCOME_UNKNOWN, self.verdict(**fields))
+            self.assertEqual(expected, self.verdict(**fields, attempt=1))
+
+    def test_peer_never_runs_work(self):
+        """Guards against a run at a balancer that is not the placer."""
+        self.assertEqual(
+            Verdict.OUTCOME_UNKNOWN,
+            self.verdict(Origin.PEER, idempotent=True),
+        )
+        self.assertEqual(0, len(self.ledger))
+
+    def test_stale_datagram_does_not_run(self):
+        """Guards against work that waited in a paused process's socket."""
+        self.assertEqual(Verdict.OUTCOME_UNKNOWN, self.verdict(Origin.STALE))
+
+    def test_only_the_bound_attempt_and_upstream_are_current(self):
+        """Guards against an answer of another upstream or attempt."""
+        work = builders.work()
+        self.ledger.admit(work)
+        self.ledger.bind(work.key, 'desk-1', 0)
+        self.assertTrue(self.ledger.is_current(work.key, 'desk-1', 0))
+        self.assertFalse(self.ledger.is_current(work.key, 'desk-2', 0))
+        self.assertFalse(self.ledger.is_current(work.key, 'desk-1', 1))
+
+    def test_record_lives_30_seconds_after_the_last_attempt(self):
+        """Guards against forgetting a request while copies may arrive."""
+        self.answered(1)
+        self.clock.advance(20 * SECOND)
+        self.verdict(request=1, attempt=1)
+        self.clock.advance(20 * SECOND)
+        self.ledger.expire()
+        self.assertEqual(1, len(self.ledger))
+        self.clock.advance(30 * SECOND)
+        self.ledger.expire()
+        self.assertEqual(0, len(self.ledger))
+
+    def test_full_ledger_runs_nothing_without_a_record(self):
+        """Guards against unbounded memory and against unrecorded runs."""
+        for request in range(8):
+            self.assertEqual(Verdict.RUN, self.verdict(request=request))
+        self.assertEqual(Verdict.OUTCOME_UNKNOWN, self.verdict(request=9))
+        self.assertEqual(8, len(self.ledger))
