Add the placer

Work that is bound to an upstream on arrival waits behind stragglers, and a request that an upstream refused or that another balancer may have run must not run twice.

The placer queues requests and binds one when a slot frees: short before long work, long work within its share, flows at their first upstream, retries only after a shed and within a budget. It judges upstreams by answers, time-outs and probes, learns occupied slots from reports after a takeover, waits out a settle time, and gives up its queue after a pause.

A later attempt of non-idempotent work without a record waits for one settle time, since its first attempt may wait at a placer that this host has not learned of.

--- /dev/null
+++ b/acaciamoor/placement/tests/test_placer.py
@@ -0,0 +1,284 @@
+"""Rules of queueing, binding, retries and the end of requests."""
+
+import unittest
+
+from acaciamoor import placement
+from acaciamoor.placement.tests import builders
+from acaciamoor.wire import envelope as wire
+
+MILLISECOND = builders.MILLISECOND
+SECOND = builders.SECOND
+LONG = wire.SizeClass.LONG
+SHORT = wire.SizeClass.SHORT
+NOT_RUN = wire.Outcome.NOT_RUN
+UNKNOWN = wire.Outcome.OUTCOME_UNKNOWN
+Reason = placement.Reason
+
+
+def fill(driver, slots, first=100, **fields):
+    """Bind requests to all slots and return the `Bind` effects."""
+    bound = []
+    for request in range(first, first + slots):
+        bound += builders.binds(driver.submit(request, **fields))
+    return bound
+
+
+class QueueTest(unittest.TestCase):
+    def test_work_is_bound_only_to_free_slots(self):
+        """Guards against queues at the upstreams, which cannot be undone."""
+        driver = builders.Driver()
+        bound = fill(driver, 4)
+        self.assertEqual(4, len(bound))
+        self.assertEqual([], driver.submit(1))
+        after = builders.binds(driver.answer(bound[2]))
+        self.assertEqual([1], [bind.work.request for bind in after])
+        self.assertEqual(bound[2].upstream, after[0].upstream)
+
+    def test_short_work_overtakes_long_work(self):
+        """Guards against quotes that wait behind photos."""
+        driver = builders.Driver()
+        bound = fill(driver, 1, size_class=LONG)
+        bound += fill(driver, 3, first=200)
+        driver.submit(1, size_class=LONG)
+        driver.submit(2, size_class=SHORT)
+        after = builders.binds(driver.answer(bound[3]))
+        self.assertEqual([2], [bind.work.request for bind in after])
+
+    def test_announced_long_work_leaves_slots_to_short_work(self):
+        """Guards against photos that take every slot."""
+        driver = builders.Driver(long_share=0.75)
+        self.assertEqual(3, len(fill(driver, 4, size_class=LONG)))
+        self.assertEqual(1, len(builders.binds(driver.submit(1))))
+
+    def test_unannounced_long_work_counts_against_the_share(self):
+        """Guards against long work that is not announced as such."""
+        driver = builders.Driver(long_share=0.5)
+        driver.serve(1, 30)
+        fill(driver, 2)
+        self.assertEqual(1, len(fill(driver, 1, first=200, size_class=LONG)))
+        driver.advance(SECOND)
+        self.assertEqual([], fill(driver, 1, first=201, size_class=LONG))
+
+    def test_full_queue_refuses_as_not_run(self):
+        """Guards against a queue without bound."""
+        driver = builders.Driver(queue_limit=1)
+        fill(driver, 4)
+        driver.submit(1)
+        (reply,) = driver.submit(2)
+        self.assertEqual(
+            (NOT_RUN, Reason.QUEUE_FULL), (reply.outcome, reply.reason)
+        )
+        self.assertEqual(NOT_RUN, driver.submit(2, attempt=1)[0].outcome)
+
+    def test_request_that_would_be_late_is_refused_at_once(self):
+        """Guards against a refusal after a long wait."""
+        driver = builders.Driver()
+        driver.serve(1, 30)
+        fill(driver, 4)
+        for request in range(20):
+            driver.submit(200 + request)
+        (reply,) = driver.submit(90, timeout=50 * MILLISECOND)
+        self.assertEqual(
+            (NOT_RUN, Reason.DEADLINE), (reply.outcome, reply.reason)
+        )
+        self.assertEqual([], driver.submit(91, timeout=SECOND))
+
+    def test_slow_past_does_not_refuse_work_for_ever(self):
+        """Guards against an estimate that stops the work it learns from."""
+        driver = builders.Driver()
+        driver.serve(1, 30, step=SECOND)
+        after = driver.submit(90, timeout=500 * MILLISECOND)
+        self.assertEqual(1, len(builders.binds(after)))
+
+    def test_expired_request_is_not_bound(self):
+        """Guards against running work whose caller has given up."""
+        driver = builders.Driver()
+        bound = fill(driver, 4)
+        driver.submit(1, timeout=105 * MILLISECOND)
+        driver.clock.advance(106 * MILLISECOND)
+        effects = driver.answer(bound[0])
+        self.assertEqual([], builders.binds(effects))
+        self.assertEqual(1, len(builders.replies(driver.effects, NOT_RUN)))
+
+    def test_later_requests_of_a_flow_stay_on_its_upstream(self):
+        """Guards against a flow whose requests hit several upstreams."""
+        driver = builders.Driver()
+        (first,) = builders.binds(driver.submit(1, flow=5))
+        home = first.upstream.upstream_id
+        driver.answer(first)
+        others = fill(driver, 4)
+        self.assertEqual([], driver.submit(2, flow=5))
+        for bind in others:
+            after = builders.binds(driver.answer(bind))
+            if bind.upstream.upstream_id == home:
+                self.assertEqual(2, after[0].work.request)
+                break
+            self.assertEqual([], after)
+        driver.take(driver.placer.close_flow(5))
+
+    def test_parts_are_sent_once(self):
+        """Guards against a part that reaches the upstream twice or never."""
+        driver = builders.Driver()
+        bound = fill(driver, 4)
+        driver.submit(1, part=1, parts=3)
+        driver.submit(1, part=0, parts=3)
+        driver.submit(1, part=0, parts=3, attempt=1)
+        (bind,) = builders.binds(driver.answer(bound[0]))
+        self.assertEqual(2, len(bind.payloads))
+        self.assertEqual([], driver.submit(1, part=1, parts=3))
+        (sent,) = driver.submit(1, part=2, parts=3, attempt=1)
+        self.assertEqual(bind.upstream, sent.upstream)
+        self.assertEqual([], driver.submit(1, part=2, parts=3))
+
+
+class EndTest(unittest.TestCase):
+    def test_only_the_answer_of_the_bound_attempt_counts(self):
+        """Guards against crossed, foreign and duplicate answers."""
+        driver = builders.Driver()
+        (bind,) = builders.binds(driver.submit(1))
+        other = {'desk-1': 'desk-2', 'desk-2': 'desk-1'}
+        self.assertEqual(
+            [],
+            driver.answer(bind, upstream_id=other[bind.upstream.upstream_id]),
+        )
+        self.assertEqual([], driver.answer(bind, attempt=1))
+        self.assertEqual(1, len(driver.answer(bind)))
+        self.assertEqual([], driver.answer(bind))
+        self.assertEqual(0, driver.placer.bound)
+
+    def test_answer_in_parts_frees_the_slot_at_its_last_part(self):
+        """Guards against a truncated answer that counts as complete."""
+        driver = builders.Driver(count=1)
+        bound = fill(driver, 2)
+        driver.submit(1)
+        self.assertEqual(1, len(driver.answer(bound[0], part=1, parts=2)))
+        self.assertEqual([], driver.answer(bound[0], part=1, parts=2))
+        after = driver.answer(bound[0], part=0, parts=2)
+        self.assertEqual(1, len(builders.binds(after)))
+        repeated = driver.submit(100, attempt=1)
+        self.assertEqual(
+            ['answer 1100/100/0', 'answer 1100/100/1'],
+            [reply.payload for reply in repeated],
+        )
+
+    def test_time_out_of_a_bound_request_is_unknown(self):
+        """Guards against "not run" for work that may have run."""
+        driver = builders.Driver()
+        driver.submit(1, timeout=50 * MILLISECOND)
+        effects = driver.advance(60 * MILLISECOND)
+        self.assertEqual(1, len(builders.replies(effects, UNKNOWN)))
+        self.assertEqual(
+            1, len(builders.of_type(effects, placement.CancelUpstream))
+        )
+
+    def test_shed_request_is_retried_elsewhere_within_the_budget(self):
+        """Guards against retry storms and against retries that may double."""
+        driver = builders.Driver(retry_ratio=0.0)
+        outcomes = []
+        for request in range(1, 12):
+            (bind,) = builders.binds(driver.submit(request))
+            effects = driver.shed(bind)
+            effects += driver.advance(SECOND)
+            outcomes += [
+                effect.upstream != bind.upstream
+                for effect in builders.binds(effects)
+            ]
+            for retry in builders.binds(effects):
+                driver.answer(retry)
+        self.assertEqual([True] * 10, outcomes)
+        (last,) = builders.replies(driver.effects, NOT_RUN)
+        self.assertEqual(Reason.RETRY_BUDGET, last.reason)
+
+    def test_duplicate_of_a_shed_has_no_effect(self):
+        """Guards against a retry beside a running first attempt."""
+        driver = builders.Driver()
+        (bind,) = builders.binds(driver.submit(1))
+        driver.shed(bind)
+        self.assertEqual(1, len(builders.binds(driver.advance(SECOND))))
+        self.assertEqual([], driver.shed(bind) + driver.advance(SECOND))
+
+    def test_cancelled_work_is_stopped_or_never_bound(self):
+        """Guards against slots that work for callers who have gone."""
+        driver = builders.Driver(count=1)
+        bound = fill(driver, 2)
+        driver.submit(1)
+        driver.take(driver.placer.cancel(driver.work(1).key))
+        (cancel,) = driver.placer.cancel(bound[0].work.key)
+        self.assertIsInstance(cancel, placement.CancelUpstream)
+        self.assertEqual([], builders.binds(driver.advance(SECOND)))
+        self.assertEqual([], driver.answer(bound[0]))
+        self.assertEqual(NOT_RUN, driver.submit(1, attempt=1)[0].outcome)
+
+
+class TenureTest(unittest.TestCase):
+    def test_new_placer_settles_before_it_binds(self):
+        """Guards against two placers that bind at the same time."""
+        driver = builders.Driver(settled=False)
+        driver.take(driver.placer.set_lease(holds=True))
+        driver.submit(1)
+        self.assertEqual([], driver.advance(990 * MILLISECOND))
+        self.assertEqual(1, len(driver.advance(20 * MILLISECOND)))
+
+    def test_work_that_came_without_lease_never_runs(self):
+        """Guards against an order that the other side of a cut has run."""
+        driver = builders.Driver()
+        driver.take(driver.placer.set_lease(holds=False))
+        driver.submit(1)
+        driver.submit(2, idempotent=True)
+        driver.take(driver.placer.set_lease(holds=True))
+        effects = driver.advance(2 * SECOND)
+        self.assertEqual(
+            [2], [b.work.request for b in builders.binds(effects)]
+        )
+        (reply,) = builders.replies(effects, UNKNOWN)
+        self.assertEqual(Reason.PLACER_CHANGED, reply.reason)
+
+    def test_refusal_without_lease_is_not_claimed_as_not_run(self):
+        """Guards against a false "not run" while another placer runs it."""
+        driver = builders.Driver(settled=False, queue_limit=0)
+        (reply,) = driver.submit(1)
+        self.assertEqual(UNKNOWN, reply.outcome)
+
+    def test_pause_ends_the_queue_and_the_lease(self):
+        """Guards against a resumed process that runs what it had queued."""
+        driver = builders.Driver()
+        bound = fill(driver, 4)
+        driver.submit(1)
+        driver.clock.advance(5 * SECOND)
+        effects = driver.submit(2)
+        self.assertEqual(
+            [(1, UNKNOWN), (2, UNKNOWN)],
+            [(reply.work.request, reply.outcome) for reply in effects],
+        )
+        self.assertEqual(1, len(builders.replies(driver.answer(bound[0]))))
+        driver.advance(SECOND)
+        self.assertEqual([], driver.submit(3))
+
+    def test_later_attempt_without_record_waits_out_uneven_views(self):
+        """Guards against an order that waits at a placer unknown so far."""
+        driver = builders.Driver()
+        driver.advance(10 * SECOND)
+        self.assertEqual([], driver.submit(1, attempt=1, age=SECOND))
+        (late,) = driver.submit(
+            2, attempt=1, age=SECOND, timeout=500 * MILLISECOND
+        )
+        self.assertEqual(UNKNOWN, late.outcome)
+        self.assertEqual([], driver.advance(990 * MILLISECOND))
+        self.assertEqual(1, len(builders.binds(driver.advance(SECOND))))
+
+    def test_hand_over_passes_the_queue_and_keeps_bound_work(self):
+        """Guards against a graceful shutdown that cuts requests."""
+        driver = builders.Driver()
+        bound = fill(driver, 4)
+        driver.submit(1)
+        (passed,) = driver.take(driver.placer.hand_over('host-2'))
+        self.assertEqual(('host-2', 1), (passed.host_id, passed.work.request))
+        effects = driver.answer(bound[0])
+        self.assertEqual(1, len(effects))
+        self.assertEqual(UNKNOWN, driver.submit(1, attempt=1)[0].outcome)
+        successor = builders.Driver(settled=False)
+        successor.take(successor.placer.set_lease(holds=True))
+        successor.submit(1, placement.Origin.HAND_OVER, attempt=1)
+        self.assertEqual(
+            1, len(builders.binds(successor.advance(1010 * MILLISECOND)))
+        )
