Add interfaces of membership and configuration

The process and the codec of peer messages are written at the same time as these packages and need the messages and signatures first.

--- /dev/null
+++ b/acaciamoor/configuration/messages.py
@@ -0,0 +1,116 @@
+"""Messages that carry configuration between balancers."""
+
+import dataclasses
+import datetime
+
+from acaciamoor import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationDigest:
+    """Constant-size summary of a host's configuration.
+
+    Parameters
+    ----------
+    version : int
+        Collection version up to which the host knows every change; 0 before
+        the first one. Unsigned 64-bit.
+    fingerprint : int
+        Unsigned 64-bit hash of the services and versions up to `version`.
+    confirmed_age : datetime.timedelta or None
+        Time since a relay is known to have called `version` the newest; None
+        if that is not known or long ago.
+    published_age : datetime.timedelta or None
+        Time since the first relay learned `version`; None if long ago.
+    target : int
+        Collection version that the status object reports next.
+    target_in_force : bool
+        Whether `target` is in force on the host.
+    """
+
+    version: int
+    fingerprint: int = 0
+    confirmed_age: datetime.timedelta | None = None
+    published_age: datetime.timedelta | None = None
+    target: int = 0
+    target_in_force: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceVersion:
+    """A service, or its deletion, at one version.
+
+    Parameters
+    ----------
+    service_id : ServiceId
+        The service.
+    version : int
+        Collection version of the change.
+    service : Service or None
+        The service as stored at `version`; None if it was deleted.
+    age : datetime.timedelta
+        Time since a relay learned of the change, as known to the sender.
+    """
+
+    service_id: model.ServiceId
+    version: int
+    service: model.Service | None
+    age: datetime.timedelta = datetime.timedelta(0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotRequest:
+    """Asks for the next piece of changes.
+
+    Parameters
+    ----------
+    since : int
+        Last version that the requester has; the answer starts after it.
+    full : bool
+        Whether the requester wants the complete collection, so that it can
+        drop services that are not part of it.
+    """
+
+    since: int
+    full: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delta:
+    """All changes with ``since < version <= upto``, in order of version.
+
+    Parameters
+    ----------
+    since, upto : int
+        Range of versions that `items` covers completely.
+    items : tuple of ServiceVersion
+        Latest change of each service in the range; deletions included.
+    """
+
+    since: int
+    upto: int
+    items: tuple[ServiceVersion, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """One piece of a complete collection, in order of version.
+
+    Parameters
+    ----------
+    version : int
+        Collection version of the whole snapshot.
+    since, upto : int
+        Range of versions that this piece covers; the last piece has
+        ``upto == version``.
+    items : tuple of ServiceVersion
+        The services in the range.
+    """
+
+    version: int
+    since: int
+    upto: int
+    items: tuple[ServiceVersion, ...]
+
+
+Message = SnapshotRequest | Delta | Snapshot
--- a/acaciamoor/model/__init__.py
+++ b/acaciamoor/model/__init__.py
@@ -5,6 +5,7 @@
 from acaciamoor.model.identifiers import HostId
 from acaciamoor.model.identifiers import ServiceId
 from acaciamoor.model.identifiers import UpstreamId
+from acaciamoor.model.members import MembershipView
 from acaciamoor.model.policy import Policy
 from acaciamoor.model.service import Service
 from acaciamoor.model.upstream import Upstream
@@ -14,6 +15,7 @@
     'Address',
     'DataCentre',
     'HostId',
+    'MembershipView',
     'Policy',
     'Service',
     'ServiceId',
--- /dev/null
+++ b/acaciamoor/naive/__init__.py
@@ -0,0 +1,1 @@
+"""Naive variants, used as baselines by differential tests and the bench."""
