--- a/acaciamoor/naive/__init__.py
+++ b/acaciamoor/naive/__init__.py
@@ -1,1 +1,1 @@
-"""Naive variants that tests and experiments compare with."""
+"""Naive baselines, used by differential tests and the bench."""
