--- /dev/null
+++ b/acaciamoor/load/capacity/__init__.py
@@ -0,0 +1,8 @@
+"""Measures slopes and works out what each role costs at the planned size."""
+
+from acaciamoor.load.capacity.plan import LIMITS
+from acaciamoor.load.capacity.plan import Limits
+from acaciamoor.load.capacity.plan import Plan
+from acaciamoor.load.capacity.plan import PLAN
+
+__all__ = ['LIMITS', 'PLAN', 'Limits', 'Plan']
