Add a virtual service and fuzz the placer against it

The guarantees must hold when faults overlap: a frozen or cut placer, a change that hosts learn of unevenly, sheds, drains, late, crossed and double answers, and misleading reports.

A world on virtual time holds callers, a placer on each balancer, and upstreams; an oracle sees every run and every reply. The state machine injects faults at any time and checks for double runs, false "not run", foreign or surplus answers, slots exceeded by one placer, work bound to a draining upstream, and that service returns after the faults.

The first runs found that a balancer which only forwards must mark datagrams that it held during a pause as stale: attempt 0 waited 4 s in its socket and was then refused as "not run" although attempt 3 had run.

--- /dev/null
+++ b/acaciamoor/load/scenarios/placement_oracle.py
@@ -0,0 +1,120 @@
+"""What truly happened to every request, for comparison with what was said."""
+
+import collections
+import dataclasses
+import datetime
+
+from acaciamoor import model
+from acaciamoor import requests
+from acaciamoor import wire
+
+
+@dataclasses.dataclass(slots=True)
+class CallerRecord:
+    """One request as its caller knows it."""
+
+    work: requests.Work
+    sent_at: datetime.timedelta
+    attempts: int = 1
+    answers: list[object] = dataclasses.field(default_factory=list)
+    outcome: wire.Outcome | None = None
+    reason: requests.Reason = requests.Reason.NONE
+    ended_at: datetime.timedelta | None = None
+
+    @property
+    def latency(self) -> datetime.timedelta | None:
+        """Time to the first reply, or None without one."""
+        return None if self.ended_at is None else self.ended_at - self.sent_at
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunAnswer:
+    """Payload of an answer: which run at which upstream it is from."""
+
+    key: requests.RequestKey
+    upstream_id: model.UpstreamId
+    run: int
+
+
+class Oracle:
+    """Records runs and replies and names every broken guarantee."""
+
+    def __init__(self) -> None:
+        self.records_by_key: dict[requests.RequestKey, CallerRecord] = {}
+        self.runs_by_key: collections.Counter[requests.RequestKey] = (
+            collections.Counter()
+        )
+        self.runs_by_upstream: collections.Counter[model.UpstreamId] = (
+            collections.Counter()
+        )
+        self.violations: list[str] = []
+        self.double_runs = 0
+        self.false_not_run = 0
+        self.crossed_answers = 0
+        self.overloads = 0
+
+    def sent(
+        self, work: requests.Work, now: datetime.timedelta
+    ) -> CallerRecord:
+        """Take the first attempt of a request."""
+        record = CallerRecord(work, now)
+        self.records_by_key[work.key] = record
+        return record
+
+    def ran(self, work: requests.Work, upstream_id: model.UpstreamId) -> int:
+        """Take the start of a run and return its number."""
+        self.runs_by_key[work.key] += 1
+        self.runs_by_upstream[upstream_id] += 1
+        runs = self.runs_by_key[work.key]
+        if runs > 1 and not work.idempotent:
+            self.double_runs += 1
+            self.violations.append(f'{work.key} ran {runs} times')
+        record = self.records_by_key[work.key]
+        if record.outcome is wire.Outcome.NOT_RUN:
+            self.false_not_run += 1
+            self.violations.append(f'{work.key} ran after "not run"')
+        return runs
+
+    def replied(
+        self,
+        key: requests.RequestKey,
+        outcome: wire.Outcome,
+        reason: requests.Reason,
+        payload: object,
+        now: datetime.timedelta,
+    ) -> None:
+        """Take a reply that reached the caller of `key`."""
+        record = self.records_by_key[key]
+        if record.ended_at is None:
+            record.outcome, record.reason = outcome, reason
+            record.ended_at = now
+        if outcome is wire.Outcome.NOT_RUN and self.runs_by_key[key]:
+            self.false_not_run += 1
+            self.violations.append(f'{key} was refused as "not run" but ran')
+        if outcome is wire.Outcome.COMPLETE:
+            self._check_answer(key, record, payload)
+
+    def overloaded(self, balancer: str, upstream_id: model.UpstreamId) -> None:
+        """Take a request beyond the slots, counting one balancer's only."""
+        self.overloads += 1
+        self.violations.append(
+            f'{balancer} exceeds the slots of {upstream_id}'
+        )
+
+    def _check_answer(
+        self,
+        key: requests.RequestKey,
+        record: CallerRecord,
+        payload: object,
+    ) -> None:
+        record.answers.append(payload)
+        own = isinstance(payload, RunAnswer) and payload.key == key
+        if not own:
+            self.crossed_answers += 1
+            self.violations.append(f'{key} got the answer {payload}')
+        # A copy of the answer is sent only for another attempt.
+        if len(record.answers) > record.attempts:
+            self.violations.append(
+                f'{key} got {len(record.answers)} answers for '
+                f'{record.attempts} attempts'
+            )
--- a/acaciamoor/placement/admission.py
+++ b/acaciamoor/placement/admission.py
@@ -51,7 +51,7 @@
         """Return why a request that has just arrived may not wait."""
         if self._is_full(item.lane, policy):
             return works.Reason.QUEUE_FULL
-        slots = self._pool.total_slots()
+        slots = self._pool.total_slots
         if not slots:
             return works.Reason.NO_UPSTREAM
         left = item.work.deadline - now
@@ -84,7 +84,7 @@
         that a long peak of short work does not shut it out.
         """
         total = self._long_work.total(now, self._times.long_after())
-        if total >= self._long_cap(policy, self._pool.total_slots()):
+        if total >= self._long_cap(policy, self._pool.total_slots):
             return (_Lane.SHORT,)
         if not self._long_work.announced:
             return (_Lane.LONG, _Lane.SHORT)
@@ -112,7 +112,7 @@
             servers = min(slots, self._long_cap(policy, slots))
         else:
             servers = max(1, slots - self._long_work.announced)
-        if not ahead and self._pool.free(now):
+        if not ahead and self._pool.has_free(now):
             wait = 0.0
         else:
             wait = (ahead + 1) * self._times.mean(item.lane) / servers
--- a/acaciamoor/placement/dispatch.py
+++ b/acaciamoor/placement/dispatch.py
@@ -108,7 +108,7 @@
         """Return whether an upstream that did not shed takes new work."""
         return any(
             slots.upstream.upstream_id not in item.shed_by
-            for slots in self.pool.in_use()
+            for slots in self.pool.in_use
         )
 
     def abandon_slot(self, item: pendings.Pending) -> None:
--- a/acaciamoor/placement/pool.py
+++ b/acaciamoor/placement/pool.py
@@ -70,11 +70,20 @@
     ----------
     slow_start : datetime.timedelta
         Time over which a new or readmitted upstream reaches its full share.
+
+    Attributes
+    ----------
+    in_use : list of Slots
+        The upstreams that take new work.
+    total_slots : int
+        Their slots.
     """
 
     def __init__(self, slow_start: datetime.timedelta) -> None:
         self.slow_start = slow_start
         self.slots_by_id: dict[model.UpstreamId, Slots] = {}
+        self.total_slots = 0
+        self.in_use: list[Slots] = []
         self._sequence = itertools.count(1)
         self._settled_at = _ZERO
 
@@ -98,6 +107,7 @@
             if upstream_id not in listed:
                 slots.listed = slots.ejected = False
                 self._forget_if_unused(upstream_id)
+        self._update_in_use()
 
     def start_learning(self, settled_at: datetime.timedelta) -> None:
         """Learn from reports which slots a previous placer has filled."""
@@ -108,17 +118,9 @@
         slots = self.slots_by_id.get(upstream_id)
         return slots is not None and slots.takes_new_work
 
-    def in_use(self) -> list[Slots]:
-        """Return the upstreams that take new work."""
-        return [
-            slots
-            for slots in self.slots_by_id.values()
-            if slots.takes_new_work
-        ]
-
-    def total_slots(self) -> int:
-        """Return the slots of all upstreams that take new work."""
-        return sum(slots.upstream.slots for slots in self.in_use())
+    def has_free(self, now: datetime.timedelta) -> bool:
+        """Return whether any upstream has a free slot."""
+        return any(self._free_slots(slots, now) > 0 for slots in self.in_use)
 
     def free(self, now: datetime.timedelta) -> list[Slots]:
         """Return the upstreams with a free slot, best first.
@@ -127,8 +129,8 @@
         least recently, which spreads requests evenly.
         """
         ranked = []
-        for slots in self.slots_by_id.values():
-            if slots.takes_new_work and self._free_slots(slots, now) > 0:
+        for slots in self.in_use:
+            if self._free_slots(slots, now) > 0:
                 ranked.append(
                     (self._load(slots, now), slots.last_bound, slots)
                 )
@@ -189,6 +191,11 @@
         slots.excess = others
         slots.excess_until = measured_at + REPORT_LIFETIME
 
+    def eject(self, upstream_id: model.UpstreamId) -> None:
+        """Take an upstream out of use."""
+        self.slots_by_id[upstream_id].ejected = True
+        self._update_in_use()
+
     def restart(
         self, upstream_id: model.UpstreamId, now: datetime.timedelta
     ) -> None:
@@ -196,6 +203,15 @@
         slots = self.slots_by_id[upstream_id]
         slots.ejected = False
         slots.started_at = now
+        self._update_in_use()
+
+    def _update_in_use(self) -> None:
+        self.in_use = [
+            slots
+            for slots in self.slots_by_id.values()
+            if slots.takes_new_work
+        ]
+        self.total_slots = sum(slots.upstream.slots for slots in self.in_use)
 
     def _forget_if_unused(self, upstream_id: model.UpstreamId) -> None:
         slots = self.slots_by_id[upstream_id]
@@ -212,15 +228,17 @@
         return max(_FIRST_SHARE, elapsed / self.slow_start)
 
     def _free_slots(self, slots: Slots, now: datetime.timedelta) -> int:
-        if now < slots.held_until:
+        allowed = slots.upstream.slots - len(slots.bound_at_by_token)
+        if allowed <= 0 or now < slots.held_until:
             return 0
-        allowed = math.ceil(slots.upstream.slots * self._share(slots, now))
-        unfilled = slots.upstream.slots - self._foreign(slots, now)
-        return min(allowed, unfilled) - len(slots.bound_at_by_token)
+        if slots.foreign:
+            allowed -= self._foreign(slots, now)
+        if slots.started_at is not None:
+            share = math.ceil(slots.upstream.slots * self._share(slots, now))
+            allowed = min(allowed, share - len(slots.bound_at_by_token))
+        return allowed
 
     def _foreign(self, slots: Slots, now: datetime.timedelta) -> int:
-        if not slots.foreign:
-            return 0
         if now >= self._settled_at + FOREIGN_LIFETIME:
             slots.foreign = 0
         elif now >= self._settled_at + FULL_TRUST:
@@ -230,5 +248,7 @@
     def _load(self, slots: Slots, now: datetime.timedelta) -> float:
         excess = slots.excess if now < slots.excess_until else 0
         own = len(slots.bound_at_by_token) + slots.foreign + 1
+        if slots.started_at is None and not excess:
+            return own / slots.upstream.slots
         capacity = slots.upstream.slots * self._share(slots, now)
         return (own + min(1, excess) * _REPORT_WEIGHT) / capacity
--- a/acaciamoor/placement/supervision.py
+++ b/acaciamoor/placement/supervision.py
@@ -80,7 +80,7 @@
         if judgement is None or not self._may_eject(upstream_id):
             return []
         self._monitor.eject(upstream_id, self._clock.monotonic())
-        self._core.pool.slots_by_id[upstream_id].ejected = True
+        self._core.pool.eject(upstream_id)
         self._core.stop_waiting_for_unusable()
         dead = judgement is health.Judgement.DEAD
         effects: Effects = [
@@ -100,7 +100,7 @@
             if slots.listed and slots.upstream.takes_new_work
         ]
         floor = math.ceil(self._core.policy.ejection_floor * len(active))
-        return len(pool.in_use()) - 1 >= max(1, floor)
+        return len(pool.in_use) - 1 >= max(1, floor)
 
     def _lose_bound(self, upstream_id: model.UpstreamId) -> Effects:
         lost = [
--- a/acaciamoor/requests/ledger.py
+++ b/acaciamoor/requests/ledger.py
@@ -225,6 +225,8 @@
             _State.QUEUED, work.attempt, now
         )
         self._expiry.append((now + RETENTION, work.key))
+        if origin is works.Origin.STALE:
+            return _RUN_AGAIN
         if work.idempotent and work.attempt > 0:
             return _RUN_AGAIN
         return _RUN_FIRST
