Add failure detection, leases and configuration exchange

Membership follows SWIM with suspicion and incarnations. Answers to probes carry the age of the latest round trip of every listed host, one byte each, so that a host of a large data centre can count a quorum within the lease without hearing from half of the others directly. An age is dated by the time at which the probe was sent, which makes every date a lower bound.

The configuration is kept without gaps up to a collection version, so only higher versions are adopted, whichever way they arrive.

--- a/acaciamoor/configuration/store.py
+++ b/acaciamoor/configuration/store.py
@@ -3,17 +3,20 @@
 import collections.abc
 import datetime
 import random
+import types
 
 from acaciamoor import clock as clocks
+from acaciamoor.configuration import collection
 from acaciamoor.configuration import effects
+from acaciamoor.configuration import exchange
+from acaciamoor.configuration import freshness
 from acaciamoor.configuration import messages
+from acaciamoor.configuration import relay
 from acaciamoor.model import identifiers
 from acaciamoor.model import members
 from acaciamoor.model import service as services
 
-ACTIVATION_DELAY = datetime.timedelta(seconds=2.5)
-
-SizeOf = collections.abc.Callable[[messages.ServiceVersion], int]
+ACTIVATION_DELAY = freshness.ACTIVATION_DELAY
 
 
 class ConfigurationStore:
@@ -42,21 +45,35 @@
         host_id: identifiers.HostId,
         clock: clocks.Clock,
         rng: random.Random,
-        size_of: SizeOf,
+        size_of: collection.SizeOf,
     ) -> None:
-        raise NotImplementedError
+        self._clock = clock
+        self._collection = collection.Collection(size_of)
+        self._freshness = freshness.Freshness()
+        self._exchange = exchange.Exchange(
+            self._collection, self._freshness, clock, rng, size_of
+        )
+        self._relays = relay.RelayChoice(host_id)
+        self._status = relay.StatusReporter()
+        self._is_first_relay = False
 
     @property
     def version(self) -> int:
         """Collection version up to which every change is known."""
-        raise NotImplementedError
+        return self._collection.version
 
     @property
     def services_by_id(
         self,
     ) -> collections.abc.Mapping[identifiers.ServiceId, services.Service]:
         """Newest known state of every service that exists."""
-        raise NotImplementedError
+        return types.MappingProxyType(
+            {
+                service_id: entry.service
+                for service_id, entry in self._collection.entries_by_id.items()
+                if entry.service is not None
+            }
+        )
 
     @property
     def is_complete(self) -> bool:
@@ -64,12 +81,21 @@
 
         A joining host announces itself as a member once this holds.
         """
-        raise NotImplementedError
+        return self._freshness.complete_since is not None
 
     @property
     def fresh(self) -> bool:
         """Whether a relay confirmed the version within `ACTIVATION_DELAY`."""
-        raise NotImplementedError
+        return self._freshness.is_fresh(self._clock.monotonic())
+
+    @property
+    def diverged(self) -> bool:
+        """Whether a peer holds other services at the same version.
+
+        This takes a fault of the platform or of a relay; a relay that sees it
+        lists the collection again.
+        """
+        return self._exchange.divergence.diverged
 
     def adopt(
         self, service: services.Service, age: datetime.timedelta
@@ -83,14 +109,18 @@
         age : datetime.timedelta
             Time since the watch delivered it.
         """
-        raise NotImplementedError
+        return self.on_change(
+            messages.ServiceVersion(
+                service.service_id, service.version, service, age
+            )
+        )
 
     def on_change(self, change: messages.ServiceVersion) -> bool:
         """Take over a change or deletion from the watch; False if not newer.
 
         The watch must have started at or before `version`.
         """
-        raise NotImplementedError
+        return self._exchange.adopt(change)
 
     def on_listing(
         self,
@@ -101,14 +131,24 @@
 
         An older listing than the known version changes nothing.
         """
-        raise NotImplementedError
+        now = self._clock.monotonic()
+        self._exchange.replace(
+            version,
+            [
+                collection.Entry(item.service_id, item.version, item, now)
+                for item in listed
+            ],
+        )
+        self.on_watch_alive(version)
 
     def on_watch_alive(self, version: int) -> None:
-        """Note that the watch is up to date with the platform at `version`.
+        """Note that the watch has delivered all changes up to `version`.
 
         Called for each event, bookmark or other sign of life of the watch.
+        The collection's own version moves with changes only, so that
+        bookmarks cause no traffic between the hosts.
         """
-        raise NotImplementedError
+        self._freshness.on_watch_alive(version, self._clock.monotonic())
 
     def on_digest(
         self,
@@ -128,17 +168,18 @@
             Monotonic time at or before which the digest was made, if known;
             without it the digest confirms nothing.
         """
-        raise NotImplementedError
+        self._status.on_target(digest.target)
+        return self._exchange.on_digest(sender, digest, heard_at)
 
     def on_message(
         self, sender: identifiers.HostId, message: object
     ) -> list[effects.Send]:
         """Handle a configuration message; other messages have no effect."""
-        raise NotImplementedError
+        return self._exchange.on_message(sender, message)
 
     def on_pause(self) -> None:
         """Forget all confirmations after the process was paused."""
-        raise NotImplementedError
+        self._freshness.on_pause(self._clock.monotonic())
 
     def tick(
         self,
@@ -154,33 +195,54 @@
         confirms : callable
             Whether a host has the target in force: `MembershipTable.confirms`.
         """
-        raise NotImplementedError
+        now = self._clock.monotonic()
+        self._collection.forget_tombstones(now)
+        self._is_first_relay = self._relays.is_first(view)
+        if self.is_relay(view):
+            self._freshness.confirm(self.version, view.quorum, now)
+        if self._is_first_relay:
+            self._status.tick(view, confirms, self.version)
+        return []
 
     def digest(self) -> messages.ConfigurationDigest:
         """Return the summary that probes carry."""
-        raise NotImplementedError
+        now = self._clock.monotonic()
+        return messages.ConfigurationDigest(
+            version=self.version,
+            fingerprint=self._collection.fingerprint,
+            confirmed_age=self._freshness.confirmed_age(now),
+            published_age=self._published_age(now),
+            target=self._status.target,
+            target_in_force=self.version_in_force() >= self._status.target,
+        )
 
     def delta_since(
         self, digest: messages.ConfigurationDigest
     ) -> messages.Delta | messages.Snapshot | None:
         """Return the first piece that `digest` lacks; None if nothing."""
-        raise NotImplementedError
+        return self._exchange.delta_since(digest.version)
 
     def snapshot(self, since: int = 0) -> messages.Snapshot:
         """Return the piece of the complete collection after `since`."""
-        raise NotImplementedError
+        return self._exchange.snapshot(since)
 
     def take_changes(self) -> list[messages.ServiceVersion]:
-        """Return the changes adopted since the last call, with their age."""
-        raise NotImplementedError
+        """Return the changes adopted since the last call, with their age.
+
+        A change appears again when a larger age becomes known before it is
+        in force.
+        """
+        return self._exchange.take_changes()
 
     def version_in_force(self) -> int:
         """Return the highest collection version in force on this host."""
-        raise NotImplementedError
+        return self._collection.version_in_force(
+            self._clock.monotonic() - ACTIVATION_DELAY
+        )
 
     def is_relay(self, view: members.MembershipView) -> bool:
         """Return whether this host watches the platform."""
-        raise NotImplementedError
+        return self._relays.is_relay(view)
 
     def take_status(self) -> int | None:
         """Return a version to write to the status object, if one is due.
@@ -188,4 +250,14 @@
         Only the first relay gets one: the highest collection version known to
         be in force on all live hosts, at most every 2 s and only if changed.
         """
-        raise NotImplementedError
+        if not self._is_first_relay:
+            return None
+        return self._status.take_status(self._clock.monotonic())
+
+    def _published_age(
+        self, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        newest = self._collection.newest
+        if newest is None or now - newest.published_at > 2 * ACTIVATION_DELAY:
+            return None
+        return now - newest.published_at
--- a/acaciamoor/membership/__init__.py
+++ b/acaciamoor/membership/__init__.py
@@ -9,11 +9,15 @@
 from acaciamoor.membership.messages import Phase
 from acaciamoor.membership.messages import Probe
 from acaciamoor.membership.messages import ProbeAck
-from acaciamoor.membership.table import ConfigurationPeer
+from acaciamoor.membership.peer import ConfigurationPeer
 from acaciamoor.membership.table import HostList
+from acaciamoor.membership.table import LEASE
 from acaciamoor.membership.table import MembershipTable
+from acaciamoor.membership.table import TICK
 
 __all__ = [
+    'LEASE',
+    'TICK',
     'ConfigurationPeer',
     'Evidence',
     'Health',
--- a/acaciamoor/membership/messages.py
+++ b/acaciamoor/membership/messages.py
@@ -86,14 +86,12 @@
     updates : tuple of MemberUpdate
         News, a bounded number.
     digest : ConfigurationDigest or None
-        The sender's configuration; None in a forwarded probe.
+        The sender's configuration.
     listing : int
         Hash of the sender's host list.
     state_after : HostId or None
         Asks for a page of the full state after this host; the empty string
         asks for the first page.
-    origin : HostId or None
-        In a probe that a helper forwards, the host that asked for it.
     """
 
     sequence: int
@@ -102,7 +100,6 @@
     digest: configuration.ConfigurationDigest | None = None
     listing: int = 0
     state_after: model.HostId | None = None
-    origin: model.HostId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,8 +123,6 @@
     page_end : HostId or None
         Last host of the page, or the empty string if no host follows; None
         without a page.
-    origin : HostId or None
-        Set on the way to a helper: the host for which it forwards.
     """
 
     sequence: int
@@ -137,7 +132,6 @@
     evidence: Evidence | None = None
     page: tuple[MemberUpdate, ...] = ()
     page_end: model.HostId | None = None
-    origin: model.HostId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
