--- /dev/null
+++ b/acaciamoor/standins/fabric/__init__.py
@@ -0,0 +1,6 @@
+"""Fabric that sprays datagrams over the balancers."""
+
+from acaciamoor.standins.fabric.spray import Fabric
+from acaciamoor.standins.fabric.spray import Faults
+
+__all__ = ['Fabric', 'Faults']
