Add balancer core, shell and demo

BalancerCore composes flow router, placer, membership and configuration: one typed event in, a list of effects out, without sockets or an event loop. The shell owns the sockets and timers; reactivex subjects connect it to the tasks for the platform and for the health of upstreams.

--- /dev/null
+++ b/acaciamoor/balancer/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the balancer."""
+
+import sys
+
+from acaciamoor.balancer import main
+
+sys.exit(main.main())
--- /dev/null
+++ b/acaciamoor/balancer/core/messages.py
@@ -0,0 +1,87 @@
+"""Messages that balancers exchange about health and retained views."""
+
+import dataclasses
+import datetime
+
+from acaciamoor import configuration
+from acaciamoor import flows
+from acaciamoor import membership
+from acaciamoor import model
+from acaciamoor import views
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthUpdate:
+    """Health of a service's upstreams, published by its placer.
+
+    Parameters
+    ----------
+    service_id : ServiceId
+        The service.
+    version : int
+        Health version; the highest one wins.
+    unhealthy : tuple of UpstreamId
+        Upstreams that take no new flows.
+    lost : tuple of UpstreamId
+        Dead upstreams, whose streams are refused.
+    age : datetime.timedelta
+        Time since the placer published it.
+    """
+
+    service_id: model.ServiceId
+    version: int
+    unhealthy: tuple[model.UpstreamId, ...]
+    lost: tuple[model.UpstreamId, ...]
+    age: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthReport:
+    """A shard's judgement, sent to the placer that publishes the health."""
+
+    service_id: model.ServiceId
+    upstream_id: model.UpstreamId
+    healthy: bool
+    dead: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewsRequest:
+    """Asks for all retained views of a service."""
+
+    service_id: model.ServiceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AgedView:
+    """A view and the time since it was published."""
+
+    view: views.ServiceView
+    age: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetainedViews:
+    """All retained views of a service and its present health."""
+
+    service_id: model.ServiceId
+    views: tuple[AgedView, ...]
+
+
+TYPES_BY_NAME = {
+    cls.__name__: cls
+    for cls in (
+        membership.Probe,
+        membership.ProbeAck,
+        membership.IndirectProbe,
+        configuration.SnapshotRequest,
+        configuration.Snapshot,
+        configuration.Delta,
+        flows.PutRecords,
+        flows.ViewNeeds,
+        HealthUpdate,
+        HealthReport,
+        ViewsRequest,
+        RetainedViews,
+    )
+}
--- /dev/null
+++ b/acaciamoor/balancer/core/requests.py
@@ -0,0 +1,136 @@
+"""Datagrams of requests as the placer sees them, and its replies."""
+
+import dataclasses
+import datetime
+import typing
+
+from acaciamoor import model
+from acaciamoor import placement
+from acaciamoor import wire
+
+SocketAddress = tuple[str, int]
+
+
+class CallerReference(typing.NamedTuple):
+    """Where the answers to a request go.
+
+    Parameters
+    ----------
+    address : tuple
+        The caller, as the socket library takes it.
+    header : bytes
+        PROXY header of the caller's datagram, for a cancellation.
+    service_id : ServiceId
+        Service of the request.
+    """
+
+    address: SocketAddress
+    header: bytes
+    service_id: model.ServiceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestDatagram:
+    """A decoded datagram of a request.
+
+    Parameters
+    ----------
+    data : bytes
+        PROXY header and envelope, unchanged.
+    header_bytes : int
+        Length of the PROXY header.
+    caller : Address
+        Source of the datagram.
+    envelope : Envelope
+        The decoded envelope.
+    """
+
+    data: bytes
+    header_bytes: int
+    caller: model.Address
+    envelope: wire.Envelope
+
+    @classmethod
+    def decode(cls, data: bytes) -> 'RequestDatagram':
+        """Return the datagram in `data`.
+
+        Raises
+        ------
+        MalformedError
+            If header or envelope is malformed.
+        """
+        header, offset = wire.split_proxy(data)
+        return cls(data, offset, header.source, wire.decode(data[offset:]))
+
+    @property
+    def service_id(self) -> model.ServiceId:
+        """Service of the request."""
+        return model.ServiceId(self.envelope.service)
+
+    def work(
+        self, now: datetime.timedelta, held: datetime.timedelta
+    ) -> placement.Work:
+        """Return the placer's input for a datagram received at `now`.
+
+        Parameters
+        ----------
+        now : datetime.timedelta
+            Monotonic time of this host.
+        held : datetime.timedelta
+            Time that other balancers held the datagram.
+        """
+        envelope = self.envelope
+        return placement.Work(
+            flow=envelope.flow,
+            request=envelope.request,
+            attempt=envelope.attempt,
+            idempotent=envelope.idempotent,
+            age=envelope.age + held,
+            deadline=now + envelope.timeout - held,
+            size_class=envelope.size_class,
+            part=envelope.part,
+            parts=envelope.parts,
+            caller=CallerReference(
+                self.caller.as_tuple(),
+                self.data[: self.header_bytes],
+                self.service_id,
+            ),
+            payload=self.data,
+        )
+
+
+def refusal(work: placement.Work, outcome: wire.Outcome, reason: str) -> bytes:
+    """Return the envelope that tells a caller about its request."""
+    return wire.encode(
+        wire.Envelope(
+            wire.EnvelopeKind.REFUSAL,
+            work.caller.service_id,
+            work.flow,
+            work.request,
+            attempt=work.attempt,
+            idempotent=work.idempotent,
+            outcome=outcome,
+            reason=reason,
+        )
+    )
+
+
+def cancellation(work: placement.Work) -> bytes:
+    """Return the datagram that asks an upstream to stop a request."""
+    return work.caller.header + wire.encode(
+        wire.Envelope(
+            wire.EnvelopeKind.CANCEL,
+            work.caller.service_id,
+            work.flow,
+            work.request,
+            attempt=work.attempt,
+        )
+    )
+
+
+def held_since_receipt(
+    data: bytes, work: placement.Work, now: datetime.timedelta
+) -> datetime.timedelta:
+    """Return how long balancers held the datagram `data` of `work`."""
+    timeout = RequestDatagram.decode(data).envelope.timeout
+    return max(timeout - (work.deadline - now), datetime.timedelta(0))
--- /dev/null
+++ b/acaciamoor/balancer/shell/platform_task.py
@@ -0,0 +1,188 @@
+"""Connection to the platform: hosts, services, watch and status."""
+
+import asyncio
+import collections.abc
+import datetime
+import logging
+import random
+
+from acaciamoor.balancer import core as cores
+import acaciamoor.configuration as configuration
+import acaciamoor.findings as findings
+import acaciamoor.model as model
+from acaciamoor.model import documents
+from acaciamoor.model import status as statuses
+import acaciamoor.platform as platform
+
+LOG = logging.getLogger(__name__)
+RETRY_INTERVAL = datetime.timedelta(seconds=1)
+Post = collections.abc.Callable[[cores.Event], None]
+_ZERO = datetime.timedelta(0)
+
+
+class PlatformTask:
+    """Reads from the platform what this host needs, and no more.
+
+    Every host reads the host list at start and then rarely, and the services
+    once when it starts. Only a relay holds a watch.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The platform.
+    data_centre : DataCentre
+        Name of the status object.
+    core : BalancerCore
+        Asked for the version after which the watch starts.
+    post : callable
+        Takes the events.
+    rng : random.Random
+        Spreads the reads of many hosts.
+    host_interval : datetime.timedelta
+        Mean time between reads of the host list.
+    """
+
+    def __init__(
+        self,
+        store: platform.ObjectStore,
+        data_centre: model.DataCentre,
+        core: cores.BalancerCore,
+        post: Post,
+        rng: random.Random,
+        host_interval: datetime.timedelta,
+    ) -> None:
+        self._store = store
+        self._data_centre = data_centre
+        self._core = core
+        self._post = post
+        self._rng = rng
+        self._host_interval = host_interval
+        self._watch: asyncio.Task | None = None
+        self._status: asyncio.Task | None = None
+
+    async def run(self) -> None:
+        """Read hosts and services until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._follow_hosts())
+                group.create_task(self._list_services())
+        finally:
+            for task in (self._watch, self._status):
+                if task is not None:
+                    task.cancel()
+
+    def hold_watch(self, held: bool) -> None:
+        """Start or end the watch."""
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+        if held:
+            self._watch = asyncio.create_task(self._follow_services())
+
+    def write_status(self, version: int) -> None:
+        """Write the version in force, unless a write is still under way."""
+        if self._status is None or self._status.done():
+            self._status = asyncio.create_task(self._write_status(version))
+
+    async def _follow_hosts(self) -> None:
+        while True:
+            interval = self._host_interval * self._rng.uniform(0.5, 1.5)
+            try:
+                listed = await platform.list_hosts(self._store)
+                self._post(cores.HostsListed(_hosts(listed)))
+            except (platform.StoreError, findings.FindingsError) as error:
+                LOG.warning('the host list cannot be read: %s', error)
+                interval = RETRY_INTERVAL
+            await asyncio.sleep(interval.total_seconds())
+
+    async def _list_services(self) -> None:
+        # During an outage the configuration comes from the peers instead.
+        while not self._core.control.store.is_complete:
+            try:
+                listing = await self._store.list(documents.SERVICE_KIND)
+            except platform.StoreError as error:
+                LOG.warning('the services cannot be read: %s', error)
+                await asyncio.sleep(RETRY_INTERVAL.total_seconds())
+                continue
+            changes = [_change(stored) for stored in listing.objects]
+            self._post(
+                cores.ServicesListed(
+                    listing.version,
+                    tuple(
+                        change.service
+                        for change in changes
+                        if change is not None and change.service is not None
+                    ),
+                )
+            )
+
+    async def _follow_services(self) -> None:
+        after = self._core.control.store.version
+        async for event in self._store.watch(documents.SERVICE_KIND, after):
+            if event.stored is not None:
+                change = self._change_of(event)
+                if change is not None:
+                    self._post(cores.ServiceChanged(change))
+            self._post(cores.WatchAlive(event.version))
+
+    def _change_of(
+        self, event: platform.WatchEvent
+    ) -> configuration.ServiceVersion | None:
+        if event.event_type is not platform.EventType.DELETED:
+            return _change(event.stored)
+        for service in self._core.control.store.services_by_id.values():
+            if service.name == event.stored.name:
+                return configuration.ServiceVersion(
+                    service.service_id, event.version, None, _ZERO
+                )
+        return None
+
+    async def _write_status(self, version: int) -> None:
+        name = str(self._data_centre)
+        live = self._core.control.members
+        status = statuses.DataCentreStatus(
+            self._data_centre, version, len(live.live) if live else 0
+        )
+        document = documents.DataCentreStatusDocument.of(status)
+        value = documents.value_of(document)
+        kind = documents.STATUS_KIND
+        try:
+            try:
+                stored = await self._store.get(kind, name)
+            except platform.NotFound:
+                await self._store.create(kind, name, value)
+                return
+            if stored.value.get('version', 0) < version:
+                await self._store.update(kind, name, value, stored.version)
+        except platform.StoreError as error:
+            LOG.warning('the status cannot be written: %s', error)
+
+
+def _hosts(listed: platform.HostList) -> tuple[cores.Host, ...]:
+    return tuple(
+        cores.Host(
+            host_id=host.host_id,
+            data_centre=host.data_centre,
+            peer_address=host.address,
+            leaving=host.state is platform.HostState.LEAVING,
+        )
+        for _, host in sorted(listed.hosts_by_id.items())
+    )
+
+
+def _change(
+    stored: platform.StoredObject,
+) -> configuration.ServiceVersion | None:
+    try:
+        document = documents.parse_service(stored.name, stored.value)
+        service = document.to_service(stored.version)
+    except findings.FindingsError as error:
+        LOG.error(
+            'a service is not valid and is left as it was: %s',
+            '; '.join(str(finding) for finding in error.findings),
+            extra={'service': stored.name, 'version': stored.version},
+        )
+        return None
+    return configuration.ServiceVersion(
+        model.ServiceId(document.service_id), stored.version, service, _ZERO
+    )
--- /dev/null
+++ b/acaciamoor/balancer/shell/process.py
@@ -0,0 +1,274 @@
+"""All tasks of a balancer process."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import datetime
+import functools
+import logging
+import pathlib
+import random
+import signal
+
+from acaciamoor.balancer import core as cores
+from acaciamoor.balancer import keys
+from acaciamoor.balancer.shell import datagrams
+from acaciamoor.balancer.shell import driver as drivers
+from acaciamoor.balancer.shell import health_endpoint
+from acaciamoor.balancer.shell import metrics
+from acaciamoor.balancer.shell import observation_task
+from acaciamoor.balancer.shell import platform_task
+import acaciamoor.clock as clocks
+import acaciamoor.model as model
+import acaciamoor.platform as platform
+import acaciamoor.telemetry as telemetry
+
+LOG = logging.getLogger('acaciamoor.balancer')
+# The placer needs a call at least every 10 ms.
+TICK = datetime.timedelta(milliseconds=10)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessSettings:
+    """Settings of a balancer process.
+
+    Parameters
+    ----------
+    core : CoreSettings
+        Who this balancer is.
+    listen : Address
+        Where the fabric sends datagrams.
+    peer_address : Address
+        Where other balancers send messages.
+    health_address : Address
+        Where the fabric asks for health.
+    metrics_address : Address or None
+        Prometheus endpoint.
+    platform_url : str
+        Address of the platform.
+    keys_file : Path
+        Keys for messages between balancers.
+    host_interval : datetime.timedelta
+        Mean time between reads of the host list.
+    """
+
+    core: cores.CoreSettings
+    listen: model.Address
+    peer_address: model.Address
+    health_address: model.Address
+    metrics_address: model.Address | None
+    platform_url: str
+    keys_file: pathlib.Path
+    host_interval: datetime.timedelta
+
+
+class BalancerProcess:
+    """Runs one balancer until it has left.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+        Addresses and limits.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._left = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until the balancer was told to leave and has left.
+
+        Raises
+        ------
+        OSError
+            If an address cannot be bound.
+        FindingsError
+            If the key file is not valid.
+        """
+        loop = asyncio.get_running_loop()
+        core = cores.BalancerCore(
+            self._settings.core,
+            self._clock,
+            self._rng,
+            keys.read_keyring(self._settings.keys_file),
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            driver = self._driver(core)
+            stack.callback(driver.close, loop)
+            self._serve_metrics(stack, driver)
+            endpoint = health_endpoint.HealthEndpoint(
+                core, self._settings.health_address
+            )
+            stack.push_async_callback(endpoint.close)
+            await endpoint.start()
+            await self._start_tasks(stack, driver)
+            self._handle_signals(loop, driver)
+            driver.start(loop)
+            LOG.info('serving on %s', self._settings.listen)
+            await self._left.wait()
+            LOG.info('exiting')
+
+    def _driver(self, core: cores.BalancerCore) -> drivers.Driver:
+        listen, peer = self._settings.listen, self._settings.peer_address
+        small = drivers.CALLER_DATAGRAM_BYTES
+        large = drivers.PEER_DATAGRAM_BYTES
+        return drivers.Driver(
+            core,
+            datagrams.DatagramSocket(listen.ip, listen.port, small),
+            datagrams.DatagramSocket(listen.ip, 0, small),
+            datagrams.DatagramSocket(peer.ip, peer.port, large),
+        )
+
+    def _serve_metrics(
+        self, stack: contextlib.AsyncExitStack, driver: drivers.Driver
+    ) -> None:
+        identity = self._settings.core
+        endpoint = telemetry.MetricsEndpoint(
+            telemetry.Fields(
+                'acaciamoor-balancer', identity.data_centre, identity.host_id
+            ),
+            self._settings.metrics_address,
+        )
+        stack.callback(endpoint.close)
+        metrics.register(endpoint.meter('acaciamoor.balancer'), driver)
+
+    async def _start_tasks(
+        self, stack: contextlib.AsyncExitStack, driver: drivers.Driver
+    ) -> None:
+        transport = await stack.enter_async_context(
+            platform.HttpTransport(self._settings.platform_url)
+        )
+        post = driver.events.on_next
+        connection = platform_task.PlatformTask(
+            platform.PlatformStore(transport, self._rng),
+            self._settings.core.data_centre,
+            driver.core,
+            post,
+            self._rng,
+            self._settings.host_interval,
+        )
+        observation = observation_task.ObservationTask(self._clock, post)
+        driver.effects.subscribe(
+            functools.partial(
+                _carry_out,
+                connection=connection,
+                observation=observation,
+                left=self._left,
+            )
+        )
+        for coroutine in (
+            connection.run(),
+            observation.run(),
+            _tick(driver),
+        ):
+            _start(stack, coroutine, self._left)
+
+    def _handle_signals(
+        self, loop: asyncio.AbstractEventLoop, driver: drivers.Driver
+    ) -> None:
+        post = driver.events.on_next
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, post, cores.LeaveRequested())
+        loop.add_signal_handler(
+            signal.SIGHUP, keys.reload, self._settings.keys_file, post
+        )
+
+
+def _start(
+    stack: contextlib.AsyncExitStack,
+    coroutine: collections.abc.Coroutine,
+    left: asyncio.Event,
+) -> None:
+    task = asyncio.create_task(coroutine)
+
+    def on_done(done: asyncio.Task) -> None:
+        if not done.cancelled() and done.exception() is not None:
+            LOG.critical('a task failed', exc_info=done.exception())
+            left.set()
+
+    async def end() -> None:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    task.add_done_callback(on_done)
+    stack.push_async_callback(end)
+
+
+async def _tick(driver: drivers.Driver) -> None:
+    while True:
+        driver.events.on_next(cores.Tick())
+        await asyncio.sleep(TICK.total_seconds())
+
+
+@functools.singledispatch
+def _carry_out(
+    effect: cores.Effect,
+    connection: platform_task.PlatformTask,
+    observation: observation_task.ObservationTask,
+    left: asyncio.Event,
+) -> None:
+    raise TypeError(f'{type(effect).__name__} is not an effect')
+
+
+@_carry_out.register
+def _(
+    effect: cores.HoldWatch,
+    connection: platform_task.PlatformTask,
+    observation: observation_task.ObservationTask,
+    left: asyncio.Event,
+) -> None:
+    LOG.info('watch of the platform %s', 'held' if effect.held else 'ended')
+    connection.hold_watch(effect.held)
+
+
+@_carry_out.register
+def _(
+    effect: cores.WriteStatus,
+    connection: platform_task.PlatformTask,
+    observation: observation_task.ObservationTask,
+    left: asyncio.Event,
+) -> None:
+    connection.write_status(effect.version)
+
+
+@_carry_out.register
+def _(
+    effect: cores.ObserveUpstreams,
+    connection: platform_task.PlatformTask,
+    observation: observation_task.ObservationTask,
+    left: asyncio.Event,
+) -> None:
+    observation.observe(effect)
+
+
+@_carry_out.register
+def _(
+    effect: cores.Note,
+    connection: platform_task.PlatformTask,
+    observation: observation_task.ObservationTask,
+    left: asyncio.Event,
+) -> None:
+    fields = {'service': effect.service or None, 'flow': effect.flow}
+    LOG.log(effect.severity, effect.message, extra=fields)
+
+
+@_carry_out.register
+def _(
+    effect: cores.Exit,
+    connection: platform_task.PlatformTask,
+    observation: observation_task.ObservationTask,
+    left: asyncio.Event,
+) -> None:
+    left.set()
--- /dev/null
+++ b/acaciamoor/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A site on loopback, from nothing, with faults while it serves."""
--- /dev/null
+++ b/acaciamoor/demo/launcher.py
@@ -0,0 +1,119 @@
+"""Starts processes and ends exactly those."""
+
+import collections.abc
+import contextlib
+import datetime
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import typing
+
+_TERMINATE_TIMEOUT = datetime.timedelta(seconds=5)
+
+
+class Launcher:
+    """Processes of one run, ended by process id when the run ends.
+
+    Parameters
+    ----------
+    log_directory : Path
+        Where the standard error of each process is written.
+
+    Examples
+    --------
+    >>> import tempfile
+    >>> with tempfile.TemporaryDirectory() as directory:
+    ...     with Launcher(pathlib.Path(directory)) as launcher:
+    ...         process = launcher.start('version', '-m', 'acaciamoor.version')
+    ...         process.wait()
+    0
+    """
+
+    def __init__(self, log_directory: pathlib.Path) -> None:
+        self._log_directory = log_directory
+        self._processes_by_name: dict[str, subprocess.Popen] = {}
+
+    def start(self, name: str, *arguments: str) -> subprocess.Popen:
+        """Start a Python process with `arguments`.
+
+        Parameters
+        ----------
+        name : str
+            Name of the process in this run and of its log file.
+        arguments : str
+            Arguments of the Python interpreter.
+        """
+        self._log_directory.mkdir(parents=True, exist_ok=True)
+        with (self._log_directory / f'{name}.log').open('ab') as log:
+            # The arguments are those of this run, not user input.
+            process = subprocess.Popen(  # noqa: S603
+                [sys.executable, *arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+            )
+        self._processes_by_name[name] = process
+        return process
+
+    def kill(self, name: str) -> None:
+        """End a process at once with SIGKILL."""
+        process = self._processes_by_name[name]
+        process.kill()
+        process.wait()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self._processes_by_name[name].send_signal(number)
+
+    def process_id(self, name: str) -> int:
+        """Return the identifier of a process."""
+        return self._processes_by_name[name].pid
+
+    def log(self, name: str) -> str:
+        """Return what a process has logged."""
+        path = self._log_directory / f'{name}.log'
+        return path.read_text(encoding='utf-8')
+
+    def failed(self) -> dict[str, int]:
+        """Return the exit codes of processes that ended with an error."""
+        return {
+            name: process.returncode
+            for name, process in self._processes_by_name.items()
+            if process.poll() is not None and process.returncode > 0
+        }
+
+    def close(self) -> None:
+        """End all processes that still run, and wait for them."""
+        processes = list(self._processes_by_name.values())
+        running = [item for item in processes if item.poll() is None]
+        for process in running:
+            # A stopped process acts on SIGTERM only after it continues.
+            os.kill(process.pid, signal.SIGCONT)
+            process.terminate()
+        deadline = time.monotonic() + _TERMINATE_TIMEOUT.total_seconds()
+        for process in running:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(max(0.0, deadline - time.monotonic()))
+        for process in processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+            if process.stdout is not None:
+                process.stdout.close()
+
+    def running(self) -> collections.abc.Sequence[int]:
+        """Return the identifiers of processes that still run."""
+        return [
+            process.pid
+            for process in self._processes_by_name.values()
+            if process.poll() is None
+        ]
+
+    def __enter__(self) -> typing.Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
--- a/acaciamoor/tests/test_core_imports.py
+++ b/acaciamoor/tests/test_core_imports.py
@@ -6,6 +6,7 @@
 
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent
 PURE_PACKAGES = (
+    'balancer/core',
     'configuration',
     'findings',
     'flows',
