--- a/acaciamoor/load/capacity/__init__.py
+++ b/acaciamoor/load/capacity/__init__.py
@@ -2,7 +2,7 @@
 
 from acaciamoor.load.capacity.plan import LIMITS
 from acaciamoor.load.capacity.plan import Limits
-from acaciamoor.load.capacity.plan import Plan
 from acaciamoor.load.capacity.plan import PLAN
+from acaciamoor.load.capacity.plan import Plan
 
 __all__ = ['LIMITS', 'PLAN', 'Limits', 'Plan']
