Keep leaving hosts in the owner chains of the flow router

Membership lists leaving hosts apart from the live ones, while the router expected them among the live ones. A packet whose owner was leaving then never reached it, although it still held the record.

--- a/acaciamoor/flows/owners.py
+++ b/acaciamoor/flows/owners.py
@@ -34,7 +34,7 @@
     """
 
     def __init__(self, members: membership.MembershipView) -> None:
-        self.hosts = members.live
+        self.hosts = tuple(sorted({*members.live, *members.leaving}))
         self._chains: list[tuple[identifiers.HostId, ...]]
         leaving = set(members.leaving)
         owning = [host not in leaving for host in self.hosts]
--- a/acaciamoor/model/members.py
+++ b/acaciamoor/model/members.py
@@ -14,8 +14,8 @@
     version : int
         Grows with every change of the view on this host.
     live : tuple of HostId
-        Hosts that answer probes, sorted; includes this host and the leaving
-        hosts, but not a joining host that has no snapshot yet.
+        Hosts that may own flows and lead services, sorted. A joining host
+        that has no snapshot yet is not among them.
     leaving : tuple of HostId
         Hosts that still forward packets but own nothing, sorted.
     quorum : bool
