--- /dev/null
+++ b/acaciamoor/report/__main__.py
@@ -0,0 +1,7 @@
+"""Runs ``acaciamoor-report``."""
+
+import sys
+
+from acaciamoor.report import main
+
+sys.exit(main.main())
