Add naive placement and the placement scenarios

Scenarios on virtual time: stragglers, a crest of 3x, imbalance, a cold upstream, misleading reports, a dead, a frozen and an unevenly known placer, a drain, and the cost of the core at three sizes. The naive variants choose on arrival: by hash, two candidates with own counts or reports 0.2 s old, least outstanding with reports 0.2 s old or exact counts.

The crest led to one change of the placer: short work is refused when its expected wait exceeds 100 ms.

--- /dev/null
+++ b/acaciamoor/load/scenarios/placement_capacity.py
@@ -0,0 +1,111 @@
+"""Cost of the placer core and of the ledger at three sizes."""
+
+import datetime
+import random
+import time
+import tracemalloc
+
+from acaciamoor import clock as clocks
+from acaciamoor.load import measurement
+from acaciamoor.load.scenarios import placement_figures as figures
+from acaciamoor.load.scenarios import registry as registries
+from acaciamoor.model import address as addresses
+from acaciamoor.model import identifiers
+from acaciamoor.model import policy as policies
+from acaciamoor.model import upstream as upstream_models
+from acaciamoor.placement import messages
+from acaciamoor.placement import placer as placers
+from acaciamoor.requests import ledger as ledgers
+from acaciamoor.requests import work as works
+
+UPSTREAM_SIZES = (7, 28, 64)
+LEDGER_SIZES = (5_000, 20_000, 80_000)
+_REQUESTS = 10_000
+_SECOND = datetime.timedelta(seconds=1)
+_STEP = datetime.timedelta(microseconds=700)
+
+
+def run_capacity(
+    options: registries.Options,
+) -> list[measurement.Measurement]:
+    """Measure microseconds a request and bytes a ledger entry."""
+    out = figures.Figures('placement_capacity', options.seed)
+    for size in UPSTREAM_SIZES:
+        out.add(
+            None,
+            f'placer core, {size} upstreams',
+            _microseconds_per_request(size, options.seed),
+            'us/request',
+        )
+    for size in LEDGER_SIZES:
+        out.add(
+            None,
+            f'ledger, {size} entries',
+            _bytes_per_entry(size),
+            'bytes/entry',
+        )
+    return out.measurements
+
+
+def _work(number: int, now: datetime.timedelta) -> works.Work:
+    return works.Work(
+        flow=(number * 0x9E3779B97F4A7C15) % (1 << 64),
+        request=1,
+        attempt=0,
+        idempotent=False,
+        age=datetime.timedelta(0),
+        deadline=now + 10 * _SECOND,
+    )
+
+
+def _microseconds_per_request(upstreams: int, seed: int) -> float:
+    clock = clocks.ManualClock()
+    placer = placers.Placer(clock, random.Random(seed), policies.Policy())
+    placer.set_upstreams(
+        upstream_models.Upstream(
+            identifiers.UpstreamId(f'lots-{index}'),
+            identifiers.DataCentre('quimper'),
+            addresses.Address('127.0.0.1', 9000 + index),
+        )
+        for index in range(upstreams)
+    )
+    placer.set_lease(holds=True)
+    clock.advance(_SECOND)
+    bound: list[messages.Bind] = []
+    used = 6 * 2 * upstreams // 10
+    started = time.perf_counter()
+    for number in range(_REQUESTS):
+        clock.advance(_STEP)
+        effects = placer.submit(_work(number, clock.monotonic()))
+        if len(bound) >= used:
+            effects += placer.on_answer(_answer(bound.pop(0)))
+        bound += [item for item in effects if isinstance(item, messages.Bind)]
+        if number % 14 == 0:
+            placer.tick()
+    return (time.perf_counter() - started) / _REQUESTS * 1e6
+
+
+def _answer(bind: messages.Bind) -> messages.Answer:
+    return messages.Answer(
+        bind.upstream.upstream_id,
+        bind.work.flow,
+        bind.work.request,
+        bind.work.attempt,
+    )
+
+
+def _bytes_per_entry(entries: int) -> float:
+    clock = clocks.ManualClock()
+    ledger = ledgers.RequestLedger(clock)
+    upstream_id = identifiers.UpstreamId('lots-1')
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(entries):
+        clock.advance(_STEP)
+        work = _work(number, clock.monotonic())
+        ledger.admit(work)
+        ledger.bind(work.key, upstream_id, 0)
+        ledger.complete(work.key, (None,))
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (after - before) / entries
--- a/acaciamoor/load/scenarios/placement_world.py
+++ b/acaciamoor/load/scenarios/placement_world.py
@@ -3,14 +3,16 @@
 import collections.abc
 import dataclasses
 import datetime
+import functools
 
 from acaciamoor import harness
 from acaciamoor.load.scenarios import placement_hosts as hosts
+from acaciamoor.load.scenarios import placement_naive as naive_hosts
 from acaciamoor.load.scenarios import placement_oracle as oracles
+from acaciamoor.load.scenarios import placement_settings as world_settings
 from acaciamoor.load.scenarios import placement_upstream as stand_ins
 from acaciamoor.model import address as addresses
 from acaciamoor.model import identifiers
-from acaciamoor.model import policy as policies
 from acaciamoor.model import upstream as upstream_models
 from acaciamoor.placement import messages
 from acaciamoor.requests import work as works
@@ -26,38 +28,6 @@
 _ZERO = datetime.timedelta(0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorldSettings:
-    """Size and behaviour of a world.
-
-    Parameters
-    ----------
-    balancers, upstreams, slots : int
-        Number of each, and slots of each upstream.
-    seed : int
-        Seed of all random choices.
-    policy : policies.Policy
-        Limits of the service.
-    upstream_queue : int
-        Requests that an upstream lets wait before it sheds.
-    request_jitter : datetime.timedelta
-        Upper bound of the random delay of a caller's datagram.
-    tick : datetime.timedelta
-        Time between two ticks of a placer.
-    """
-
-    balancers: int = 8
-    upstreams: int = 7
-    slots: int = 2
-    seed: int = 7
-    policy: policies.Policy = dataclasses.field(
-        default_factory=policies.Policy
-    )
-    upstream_queue: int = 1_000_000
-    request_jitter: datetime.timedelta = _ZERO
-    tick: datetime.timedelta = datetime.timedelta(milliseconds=10)
-
-
 class World:
     """One service in one data centre.
 
@@ -65,9 +35,16 @@
     within `VIEW_SPREAD`.
     """
 
-    def __init__(self, settings: WorldSettings) -> None:
+    def __init__(
+        self,
+        settings: world_settings.WorldSettings,
+        naive_kind: naive_hosts.NaiveKind | None = None,
+    ) -> None:
         self.settings = settings
-        self.network = harness.VirtualNetwork(settings.seed)
+        self.network = harness.VirtualNetwork(
+            settings.seed, harness.LinkSettings(delay=settings.link_delay)
+        )
+        self.counts: naive_hosts.SharedCounts | None = None
         self.oracle = oracles.Oracle()
         self.upstreams = tuple(
             upstream_models.Upstream(
@@ -85,8 +62,14 @@
             for item in self.upstreams
         }
         names = [f'host-{index}' for index in range(settings.balancers)]
+        make_host = hosts.PlacerHost
+        if naive_kind is not None:
+            self.counts = naive_hosts.SharedCounts(self.network)
+            make_host = functools.partial(
+                naive_hosts.NaiveHost, kind=naive_kind, counts=self.counts
+            )
         self.hosts_by_name = {
-            name: hosts.PlacerHost(
+            name: make_host(
                 name,
                 self.network,
                 settings.policy,
--- a/acaciamoor/placement/admission.py
+++ b/acaciamoor/placement/admission.py
@@ -14,6 +14,10 @@
 # Share of the time to the deadline that the expected wait may take. The rest
 # covers the error of the estimate, so that few requests are refused late.
 WAIT_SHARE = 0.5
+# Expected wait for a slot at which short work is refused, even if its
+# deadline is far. A longer queue would not raise the goodput at a peak of
+# demand, and all short work would be late.
+LONGEST_SHORT_WAIT = datetime.timedelta(milliseconds=100)
 # Share of the queue that announced long work may fill.
 LONG_QUEUE_SHARE = 0.25
 
@@ -55,10 +59,12 @@
         if not slots:
             return works.Reason.NO_UPSTREAM
         left = item.work.deadline - now
-        wait = max(item.not_before, self._settled_at(now)) - now
-        wait += datetime.timedelta(
+        queueing = datetime.timedelta(
             seconds=self._queueing_seconds(item, policy, slots, now)
         )
+        wait = max(item.not_before, self._settled_at(now)) - now + queueing
+        if item.lane is _Lane.SHORT and queueing > LONGEST_SHORT_WAIT:
+            return works.Reason.QUEUE_FULL
         if wait > left * WAIT_SHARE or self.is_late(item, now + wait):
             return works.Reason.DEADLINE
         return None
--- a/acaciamoor/placement/tests/test_fuzz_placement.py
+++ b/acaciamoor/placement/tests/test_fuzz_placement.py
@@ -12,6 +12,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from acaciamoor.load.scenarios import placement_settings as world_settings
 from acaciamoor.load.scenarios import placement_world as worlds
 from acaciamoor.model import policy as policies
 from acaciamoor.model import upstream as upstreams
@@ -39,7 +40,7 @@
     def __init__(self):
         super().__init__()
         self.world = worlds.World(
-            worlds.WorldSettings(
+            world_settings.WorldSettings(
                 balancers=4,
                 upstreams=3,
                 policy=policies.Policy(queue_limit=8),
--- a/acaciamoor/placement/tests/test_placer.py
+++ b/acaciamoor/placement/tests/test_placer.py
@@ -4,6 +4,7 @@
 
 from acaciamoor import placement
 from acaciamoor.placement.tests import builders
+from acaciamoor.requests import ledger as ledgers
 from acaciamoor.wire import envelope as wire
 
 MILLISECOND = builders.MILLISECOND
@@ -189,6 +190,27 @@
         (last,) = builders.replies(driver.effects, NOT_RUN)
         self.assertEqual(Reason.RETRY_BUDGET, last.reason)
 
+    def test_retry_avoids_the_upstream_that_shed(self):
+        """Guards against a late copy of a shed that looks like a new one."""
+        driver = builders.Driver()
+        bound = fill(driver, 4)
+        driver.shed(bound[0])
+        effects = driver.advance(2 * SECOND)
+        self.assertEqual([], builders.binds(effects))
+        other = [b for b in bound if b.upstream != bound[0].upstream]
+        self.assertEqual(1, len(builders.binds(driver.answer(other[0]))))
+
+    def test_slot_of_cancelled_work_is_free_after_a_grace_time(self):
+        """Guards against new work beside work that has not stopped yet."""
+        driver = builders.Driver(count=1)
+        bound = fill(driver, 2)
+        driver.submit(1)
+        driver.take(driver.placer.cancel(bound[0].work.key))
+        effects = driver.advance(90 * MILLISECOND)
+        self.assertEqual([], builders.binds(effects))
+        effects = driver.advance(20 * MILLISECOND)
+        self.assertEqual(1, len(builders.binds(effects)))
+
     def test_duplicate_of_a_shed_has_no_effect(self):
         """Guards against a retry beside a running first attempt."""
         driver = builders.Driver()
@@ -266,6 +288,15 @@
         self.assertEqual([], driver.advance(990 * MILLISECOND))
         self.assertEqual(1, len(builders.binds(driver.advance(SECOND))))
 
+    def test_coverage_starts_when_the_settle_time_ends(self):
+        """Guards against running what the last placer ran while settling."""
+        driver = builders.Driver()
+        driver.advance(5 * SECOND)
+        (asked,) = driver.submit(
+            1, attempt=1, age=5500 * MILLISECOND - ledgers.COVERAGE_MARGIN
+        )
+        self.assertIsInstance(asked, placement.AskPeer)
+
     def test_hand_over_passes_the_queue_and_keeps_bound_work(self):
         """Guards against a graceful shutdown that cuts requests."""
         driver = builders.Driver()
--- a/acaciamoor/placement/tests/test_upstreams.py
+++ b/acaciamoor/placement/tests/test_upstreams.py
@@ -185,6 +185,13 @@
         driver.advance(30 * SECOND)
         self.assertEqual([60, 61], fill(driver, first=60))
 
+    def test_report_after_the_takeover_takes_no_slots(self):
+        """Guards against a load endpoint that starts to mislead later."""
+        driver = builders.Driver(count=1)
+        driver.advance(2 * SECOND)
+        driver.report('desk-1', running=2)
+        self.assertEqual([50, 51], fill(driver, first=50))
+
     def test_report_that_shows_idle_does_not_overload(self):
         """Guards against a load endpoint that misleads downwards."""
         driver = builders.Driver(count=1)
