--- a/acaciamoor/balancer/core/core.py
+++ b/acaciamoor/balancer/core/core.py
@@ -170,7 +170,7 @@
 
     def _on_peer(self, event: events.PeerDatagram) -> Effects:
         self._from_peers[0] += 1
-        opened = self._link.open(event.data)
+        opened = self._link.open(event.sender, event.data)
         if opened is None:
             return []
         sender, message = opened
--- a/acaciamoor/balancer/core/events.py
+++ b/acaciamoor/balancer/core/events.py
@@ -40,6 +40,7 @@
 class PeerDatagram(typing.NamedTuple):
     """A sealed message from another balancer."""
 
+    sender: SocketAddress
     data: bytes
 
 
--- a/acaciamoor/balancer/core/peers.py
+++ b/acaciamoor/balancer/core/peers.py
@@ -34,6 +34,7 @@
         self.keyring = keyring
         self._host_id = host_id
         self._counters = counters
+        self._listed: set[model.HostId] = set()
         self._addresses_by_host: dict[model.HostId, effects.SocketAddress] = {}
 
     def set_addresses(
@@ -48,6 +49,7 @@
         forward packets during its grace period.
         """
         for host_id, address in addresses_by_host.items():
+            self._listed.add(host_id)
             self._addresses_by_host[host_id] = address.as_tuple()
 
     def forward(
@@ -74,14 +76,22 @@
         self._counters.add(counts.Metric.CONTROL_BYTES_SENT, name, len(data))
         return [effects.ToPeer(address, data)]
 
-    def open(self, data: bytes) -> tuple[model.HostId, object] | None:
-        """Return the sender and the message in `data`.
+    def open(
+        self, sender: effects.SocketAddress, data: bytes
+    ) -> tuple[model.HostId, object] | None:
+        """Return the host that sent `data`, and the message in it.
 
         None if the message is malformed or not authentic, which is counted.
+        The address of a host that the platform has not listed is learned, so
+        that a host that starts during an outage can answer its peers.
         """
         try:
             message = wire.decode_peer(self.keyring.open(data))
-            return model.HostId(message.sender), self._body(message, data)
+            body = self._body(message, data)
+            host_id = model.HostId(message.sender)
+            if host_id not in self._listed:
+                self._addresses_by_host[host_id] = sender
+            return host_id, body
         except wire.AuthenticationError:
             self._counters.add(counts.Metric.UNAUTHENTICATED, _SOURCE)
         except (wire.MalformedError, compact.CompactError):
--- a/acaciamoor/balancer/shell/driver.py
+++ b/acaciamoor/balancer/shell/driver.py
@@ -79,9 +79,9 @@
 
     def _read_peers(self) -> None:
         self._post(_WAKE)
-        batch, empty = self._peer_socket.read_batch()
-        for data in batch:
-            self._post(cores.PeerDatagram(data))
+        batch, empty = self._peer_socket.read_batch_from()
+        for data, sender in batch:
+            self._post(cores.PeerDatagram(sender, data))
         if empty:
             self._post(cores.ChannelEmpty(cores.Channel.PEER))
 
--- a/acaciamoor/balancer/tests/builders.py
+++ b/acaciamoor/balancer/tests/builders.py
@@ -60,9 +60,12 @@
         self.watching: set[str] = set()
         self.cores_by_host: dict[str, cores.BalancerCore] = {}
         self._hosts_by_peer_port: dict[int, str] = {}
+        self._peers_by_host: dict[str, tuple[str, int]] = {}
         for number in range(1, 1 + hosts):
             host = f'kgn-a-{number}'
-            self._hosts_by_peer_port[peer_address(number).port] = host
+            address = peer_address(number)
+            self._hosts_by_peer_port[address.port] = host
+            self._peers_by_host[host] = address.as_tuple()
         for host in self._hosts_by_peer_port.values():
             self.start(host)
         for service in self.services:
@@ -179,7 +182,8 @@
         match effect:
             case cores.ToPeer(address, data):
                 peer = self._hosts_by_peer_port[address[1]]
-                self.network.send(host, peer, cores.PeerDatagram(data))
+                event = cores.PeerDatagram(self._peers_by_host[host], data)
+                self.network.send(host, peer, event)
             case cores.ToUpstream(address, data):
                 self.network.send(host, f'up-{address[1]}', (host, data))
             case cores.ToCaller(_, data):
--- a/acaciamoor/balancer/tests/test_core.py
+++ b/acaciamoor/balancer/tests/test_core.py
@@ -145,13 +145,12 @@
         host = self.host()
         core = self.fleet.cores_by_host[host]
         good = builders.datagram(self.service, KIND.REQUEST, 1, request=1)
+        sender = ('127.0.0.1', 9001)
         events = []
         for length in range(len(good)):
             events.append(cores.CallerDatagrams([good[:length]]))
-            events.append(
-                cores.UpstreamDatagram(('127.0.0.1', 9001), good[:length])
-            )
-            events.append(cores.PeerDatagram(good[:length]))
+            events.append(cores.UpstreamDatagram(sender, good[:length]))
+            events.append(cores.PeerDatagram(sender, good[:length]))
         for event in events:
             self.assertEqual([], list(core.handle(event)))
         counters = core.counters
--- a/acaciamoor/demo/fleet.py
+++ b/acaciamoor/demo/fleet.py
@@ -207,6 +207,13 @@
         for addresses in self.site.balancers_by_host.values():
             await self._until_answering(f'http://{addresses.health}/health')
 
+    async def set_platform_faults(self, faults: dict[str, object]) -> None:
+        """Put faults of the platform into force."""
+        async with aiohttp.ClientSession() as session:
+            await session.put(
+                f'{self.site.platform_url}/admin/faults', json=faults
+            )
+
     async def _until_answering(self, url: str) -> None:
         try:
             async with asyncio.timeout(START_TIMEOUT.total_seconds()):
--- a/acaciamoor/demo/launcher.py
+++ b/acaciamoor/demo/launcher.py
@@ -34,6 +34,8 @@
 
     def __init__(self, log_directory: pathlib.Path) -> None:
         self._log_directory = log_directory
+        # A name may be used again, by a process that replaces another.
+        self._all: list[subprocess.Popen] = []
         self._processes_by_name: dict[str, subprocess.Popen] = {}
 
     def start(self, name: str, *arguments: str) -> subprocess.Popen:
@@ -55,6 +57,7 @@
                 stderr=log,
                 text=True,
             )
+        self._all.append(process)
         self._processes_by_name[name] = process
         return process
 
@@ -72,6 +75,17 @@
         """Return the identifier of a process."""
         return self._processes_by_name[name].pid
 
+    def wait(self, name: str, timeout: datetime.timedelta) -> int:
+        """Wait for the end of a process and return its exit code.
+
+        Raises
+        ------
+        subprocess.TimeoutExpired
+            If it still runs after `timeout`.
+        """
+        process = self._processes_by_name[name]
+        return process.wait(timeout.total_seconds())
+
     def log(self, name: str) -> str:
         """Return what a process has logged."""
         path = self._log_directory / f'{name}.log'
@@ -87,8 +101,7 @@
 
     def close(self) -> None:
         """End all processes that still run, and wait for them."""
-        processes = list(self._processes_by_name.values())
-        running = [item for item in processes if item.poll() is None]
+        running = [item for item in self._all if item.poll() is None]
         for process in running:
             # A stopped process acts on SIGTERM only after it continues.
             os.kill(process.pid, signal.SIGCONT)
@@ -97,7 +110,7 @@
         for process in running:
             with contextlib.suppress(subprocess.TimeoutExpired):
                 process.wait(max(0.0, deadline - time.monotonic()))
-        for process in processes:
+        for process in self._all:
             if process.poll() is None:
                 process.kill()
                 process.wait()
@@ -106,11 +119,7 @@
 
     def running(self) -> collections.abc.Sequence[int]:
         """Return the identifiers of processes that still run."""
-        return [
-            process.pid
-            for process in self._processes_by_name.values()
-            if process.poll() is None
-        ]
+        return [process.pid for process in self._all if process.poll() is None]
 
     def __enter__(self) -> typing.Self:
         return self
