Keep the tombstone of a service until all data centres saw it

A host whose watch expired reads the objects that exist then. If the name had been used again by that time, it saw the new service and never heard that the old one was gone, so it went on serving the old identifier.

A name is now refused until the status of every data centre has reached the version of the deletion, like a service address. Services that never came into force do not wait.

--- a/acaciamoor/model/documents/services.py
+++ b/acaciamoor/model/documents/services.py
@@ -44,6 +44,9 @@
     phase: ServicePhase = ServicePhase.ACTIVE
     written_by: str = pydantic.Field('', max_length=200)
     written_at: pydantic.AwareDatetime | None = None
+    # Set in the tombstone of a service that was in force, whose name waits
+    # until every data centre has removed it.
+    was_in_force: bool = False
 
     @classmethod
     def of(
@@ -120,6 +123,9 @@
         }
         if phase is ServicePhase.DELETED:
             changes['upstreams_by_id'] = {}
+            changes['was_in_force'] = (
+                self.was_in_force or self.phase is ServicePhase.ACTIVE
+            )
         return self.model_copy(update=changes)
 
 
--- a/acaciamoor/operator/editor.py
+++ b/acaciamoor/operator/editor.py
@@ -12,6 +12,7 @@
 from acaciamoor.operator import claims
 from acaciamoor.operator import outcomes
 from acaciamoor.operator import repository
+from acaciamoor.operator import reuse
 import acaciamoor.platform as platform
 
 # Attempts of a change that may be repeated after it has lost a race.
@@ -38,6 +39,7 @@
         self, store: platform.ObjectStore, clock: clocks.Clock
     ) -> None:
         self._clock = clock
+        self._store = store
         self._services = repository.ServiceRepository(store)
         self._claims = claims.ClaimRegistry(store, self._services, clock)
 
@@ -95,6 +97,8 @@
             )
         if current is not None and self._is_being_created(current):
             return _changed_before(current)
+        if current is not None and current.document.was_in_force:
+            await reuse.check_name(self._store, change.name, current.version)
         service_id = await self._services.allocate_id()
         document = change.document.model_copy(
             update={
--- a/acaciamoor/operator/reuse.py
+++ b/acaciamoor/operator/reuse.py
@@ -36,6 +36,34 @@
     return {status.data_centre: status for status in found}
 
 
+async def check_name(
+    store: platform.ObjectStore, name: str, removed_version: int
+) -> None:
+    """Check that a removed service is gone in all data centres.
+
+    A host that resumes its watch late reads the objects that exist then. It
+    learns that a service is gone from its tombstone, so the tombstone must
+    stay until every data centre has seen it.
+
+    Raises
+    ------
+    FindingsError
+        With one finding for each data centre that has not confirmed.
+    """
+    place = f'{documents.SERVICE_KIND}.{name}'
+    problems = [
+        findings.Finding(
+            place,
+            f'was deleted; data centre {data_centre} is at version '
+            f'{status.version} and must reach {removed_version}',
+        )
+        for data_centre, status in (await read_statuses(store)).items()
+        if status.version < removed_version
+    ]
+    if problems:
+        raise findings.FindingsError.of(f'{name} is retired', problems)
+
+
 async def check_confirmed(
     store: platform.ObjectStore, claim: claims.AddressClaim
 ) -> None:
--- a/acaciamoor/operator/tests/test_editor.py
+++ b/acaciamoor/operator/tests/test_editor.py
@@ -144,7 +144,15 @@
             operator.DeleteService(name='order-desk')
         )
         self.assertIsNone(site.service())
+        site.confirm(deleted.version - 1, 'kgn-b')
+        refused = await editor.execute(builders.creation(port=8002))
+        # The tombstone must stay until kgn-b has read it.
+        self.assertEqual(
+            ['services.order-desk'],
+            [finding.place for finding in refused.findings],
+        )
         site.confirm(deleted.version)
+        site.confirm(deleted.version, 'kgn-b')
         plan = platform_builders.planned(memory.LOST_REPLY)
         second = await site.new_operator(2, plan)[0].execute(
             builders.creation()
