Test each rule of address claims on its own

With the rule switched off each of these tests failed: release of a claim that another change renewed (2 tests), lowering the version of a claim (1), forgetting a former data centre (1).

--- a/acaciamoor/operator/tests/test_claims.py
+++ b/acaciamoor/operator/tests/test_claims.py
@@ -123,6 +123,94 @@
         outcome = await editor.execute(builders.addition(9001))
         self.assertIsInstance(outcome, operator.Accepted)
 
+    async def test_address_waits_for_every_data_centre_that_used_it(self):
+        """Guards against a return that forgets the former data centre."""
+        editor = self.site.editor()
+        await editor.execute(builders.creation(DESK, 8001, (9001, 9002)))
+        await editor.execute(builders.creation(BENCH, 8002, (9003,)))
+        for change in (
+            builders.drain(9001),
+            builders.removal(9001),
+            builders.addition(9001, data_centre='kgn-b'),
+            builders.drain(9001),
+            builders.removal(9001),
+        ):
+            outcome = await editor.execute(change)
+            self.assertIsInstance(outcome, operator.Accepted)
+        self.site.confirm(outcome.version, 'kgn-b')
+        taking = builders.addition(9001, BENCH)
+        self.assert_refused(await editor.execute(taking), '127.0.0.1:9001')
+        self.site.confirm(outcome.version, 'kgn-a')
+        outcome = await editor.execute(taking)
+        self.assertIsInstance(outcome, operator.Accepted)
+
+    async def test_failed_change_keeps_a_claim_that_another_relies_on(self):
+        """Guards against freeing an address that a racing change gets."""
+        editor = self.site.editor()
+        await editor.execute(builders.creation(DESK, 8001, (9001,)))
+        await editor.execute(builders.creation(BENCH, 8002, (9003,)))
+        first, first_transport = self.site.new_operator(2)
+        second, second_transport = self.site.new_operator(3)
+        claimed, failed = asyncio.Event(), asyncio.Event()
+
+        async def pause(write):
+            if write.kind == documents.SERVICE_KIND:
+                claimed.set()
+                await failed.wait()
+
+        async def fail(write):
+            if write.kind == documents.SERVICE_KIND:
+                raise platform.Unavailable
+
+        first_transport.before_write = pause
+        second_transport.before_write = fail
+        change = builders.addition(9002)
+        task = asyncio.create_task(first.execute(change))
+        await claimed.wait()
+        refused = await second.execute(change)
+        self.assertEqual('platform', refused.findings[0].place)
+        failed.set()
+        self.assertIsInstance(await task, operator.Accepted)
+        taking = builders.addition(9002, BENCH)
+        self.assert_refused(await editor.execute(taking), '127.0.0.1:9002')
+
+    async def test_change_of_an_old_version_does_not_weaken_a_claim(self):
+        """Guards against a claim that looks stale while it is in use."""
+        editor = self.site.editor()
+        created = await editor.execute(builders.creation(DESK, 8001, (9001,)))
+        stale, stale_transport = self.site.new_operator(2)
+        fresh, fresh_transport = self.site.new_operator(3)
+        at_claim, at_service = asyncio.Event(), asyncio.Event()
+        go_on, finish = asyncio.Event(), asyncio.Event()
+
+        async def pause_at_claim(write):
+            if write.expected_version is None:
+                at_claim.set()
+                await go_on.wait()
+
+        async def pause_at_service(write):
+            if write.kind == documents.SERVICE_KIND:
+                at_service.set()
+                await finish.wait()
+
+        stale_transport.before_write = pause_at_claim
+        fresh_transport.before_write = pause_at_service
+        change = builders.addition(9002, expected_version=created.version)
+        old = asyncio.create_task(stale.execute(change))
+        await at_claim.wait()
+        await editor.execute(
+            operator.ChangePolicy(name=DESK, fields={'queue_limit': 3})
+        )
+        new = asyncio.create_task(fresh.execute(builders.addition(9002)))
+        await at_service.wait()
+        go_on.set()
+        self.assertIsInstance(await old, operator.Conflicted)
+        self.site.confirm(self._version() + 100)
+        taking = builders.creation(BENCH, 9002, (9003,))
+        self.assert_refused(await editor.execute(taking), '127.0.0.1:9002')
+        finish.set()
+        self.assertIsInstance(await new, operator.Accepted)
+
     async def test_crash_after_removal_keeps_the_address_retired(self):
         """Guards against a free address because its retirement was lost."""
         editor, transport = self.site.new_operator()
--- a/acaciamoor/platform/__init__.py
+++ b/acaciamoor/platform/__init__.py
@@ -14,6 +14,7 @@
 from acaciamoor.platform.hosts import HostState
 from acaciamoor.platform.hosts import list_hosts
 from acaciamoor.platform.http import HttpTransport
+from acaciamoor.platform.http import Timeouts
 from acaciamoor.platform.objects import Change
 from acaciamoor.platform.objects import EventType
 from acaciamoor.platform.objects import Listing
@@ -44,6 +45,7 @@
     'Rejected',
     'StoreError',
     'StoredObject',
+    'Timeouts',
     'Transport',
     'Unavailable',
     'VersionExpired',
