Test membership and configuration under faults

The naive baseline removes a host behind one broken link, removes hosts at 20% loss, keeps its lease through a pause, has two placers in a partition, and goes back to older versions with a watch that resumes; these tests fail against it, and the fuzz tests check that their oracle rejects it.

The tests found one fault: a sign of life of the watch at monotonic time zero was taken for none, because a zero duration is false.

The oracle of the membership fuzz test first counted a restarted host that holds a lease while others have not heard of it yet. It now counts hosts that act: first in rank for the settle time and with a lease.

--- a/acaciamoor/configuration/freshness.py
+++ b/acaciamoor/configuration/freshness.py
@@ -97,8 +97,9 @@
         """
         if version < self.newest_heard or self.complete_since is None:
             return
-        if self._watch_alive_at and self._watch_version >= version:
-            self._confirmed(self._watch_alive_at)
+        alive_at = self._watch_alive_at
+        if alive_at is not None and self._watch_version >= version:
+            self._confirmed(alive_at)
         if quorum and now - self.complete_since >= ACTIVATION_DELAY:
             self._confirmed(now)
 
--- a/acaciamoor/configuration/relay.py
+++ b/acaciamoor/configuration/relay.py
@@ -87,7 +87,8 @@
         """Return the version to write, if it changed and one is due."""
         if self._reached <= self._written:
             return None
-        if self._written_at and now - self._written_at < STATUS_INTERVAL:
+        written_at = self._written_at
+        if written_at is not None and now - written_at < STATUS_INTERVAL:
             return None
         self._written, self._written_at = self._reached, now
         return self._written
--- /dev/null
+++ b/acaciamoor/configuration/tests/test_fuzz_configuration.py
@@ -0,0 +1,167 @@
+"""Changes under random faults, two at a time, against an oracle."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import hypothesis.stateful
+
+from acaciamoor import harness
+from acaciamoor.membership.tests import builders
+from acaciamoor.model.tests import builders as services
+
+HOSTS = 5
+MAX_FAULTS = 2
+HOST = strategies.integers(min_value=0, max_value=HOSTS - 1)
+SERVICE = strategies.integers(min_value=1, max_value=4)
+CONVERGENCE_SECONDS = 9
+
+
+class ConfigurationMachine(hypothesis.stateful.RuleBasedStateMachine):
+    """Hosts that follow changes through outages, cuts and restarts."""
+
+    is_naive = False
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = builders.fleet(HOSTS, is_naive=self.is_naive)
+        self.undo_by_fault = {}
+        self.highest_by_life = {}
+        self.reversals = []
+        self.fleet.observers.append(self._observe)
+
+    def _observe(self, node):
+        held = {
+            service_id: service.version
+            for service_id, service in node.store.services_by_id.items()
+        }
+        life = id(node.store)
+        highest, version = self.highest_by_life.get(life, ({}, 0))
+        for service_id, known in highest.items():
+            if held.get(service_id, known) < known:
+                self.reversals.append((node.host_id, service_id, known))
+        if node.store.version < version:
+            self.reversals.append((node.host_id, version))
+        self.highest_by_life[life] = ({**highest, **held}, node.store.version)
+
+    def _add(self, fault, undo):
+        if len(self.undo_by_fault) < MAX_FAULTS:
+            self.undo_by_fault.setdefault(fault, undo)
+            return self.undo_by_fault[fault] == undo
+        return False
+
+    @hypothesis.stateful.rule(service_id=SERVICE)
+    def write(self, service_id):
+        if self.fleet.platform.is_up:
+            self.fleet.platform.write(
+                service_id, services.service(service_id=service_id)
+            )
+
+    @hypothesis.stateful.rule(service_id=SERVICE)
+    def delete(self, service_id):
+        if self.fleet.platform.is_up:
+            self.fleet.platform.write(service_id)
+
+    @hypothesis.stateful.rule()
+    def fail_platform(self):
+        if self._add('platform', self._restore_platform):
+            self.fleet.platform.is_up = False
+
+    @hypothesis.stateful.rule(index=HOST)
+    def resume_stale_watch(self, index):
+        node = self.fleet.nodes_by_id[self.fleet.host_ids[index]]
+        node.watch_version = 0
+
+    @hypothesis.stateful.rule(index=HOST)
+    def cut_platform(self, index):
+        host_id = self.fleet.host_ids[index]
+        cut = self.fleet.unreachable_platform
+        if self._add(('watch', index), lambda: cut.discard(host_id)):
+            cut.add(host_id)
+
+    @hypothesis.stateful.rule(index=HOST)
+    def restart(self, index):
+        host_id = self.fleet.host_ids[index]
+        self.fleet.kill(host_id)
+        self.fleet.start(host_id)
+        self.fleet.run(1)
+
+    @hypothesis.stateful.rule(index=HOST)
+    def freeze(self, index):
+        host_id = self.fleet.host_ids[index]
+        if self._add(
+            ('freeze', index), lambda: self.fleet.network.resume(host_id)
+        ):
+            self.fleet.network.freeze(host_id)
+
+    @hypothesis.stateful.rule(index=HOST, both=strategies.booleans())
+    def cut_off(self, index, both):
+        host_id = self.fleet.host_ids[index]
+        if self._add(('cut', index), lambda: self.fleet.reconnect([host_id])):
+            self.fleet.cut_off([host_id], both)
+
+    @hypothesis.stateful.rule()
+    def lose(self):
+        if self._add('loss', self._stop_losses):
+            self.fleet.network.link = harness.LinkSettings(loss=0.2)
+
+    @hypothesis.stateful.rule()
+    def repair(self):
+        if self.undo_by_fault:
+            self.undo_by_fault.pop(next(iter(self.undo_by_fault)))()
+
+    @hypothesis.stateful.rule(
+        tenths=strategies.integers(min_value=1, max_value=40)
+    )
+    def run(self, tenths):
+        self.fleet.run(tenths / 10)
+
+    @hypothesis.stateful.invariant()
+    def versions_never_go_back(self):
+        assert not self.reversals, self.reversals[:3]
+
+    def teardown(self):
+        while self.undo_by_fault:
+            self.repair()
+        self.fleet.run(CONVERGENCE_SECONDS)
+        self.versions_never_go_back()
+        expected = {
+            service.service_id: service.version
+            for service in self.fleet.platform.services()
+        }
+        for node in self.fleet.nodes_by_id.values():
+            held = {
+                service_id: service.version
+                for service_id, service in node.store.services_by_id.items()
+            }
+            assert held == expected, (node.host_id, held, expected)
+            version = self.fleet.platform.version
+            assert node.store.version_in_force() == version
+            assert node.store.fresh, node.host_id
+
+    def _restore_platform(self):
+        self.fleet.platform.is_up = True
+
+    def _stop_losses(self):
+        self.fleet.network.link = harness.LinkSettings()
+
+
+class NaiveMachine(ConfigurationMachine):
+    """The same faults against the baseline."""
+
+    is_naive = True
+
+
+class FuzzConfigurationTest(unittest.TestCase):
+    def test_no_reversal_and_convergence(self):
+        """Guards against hosts that go back to an older version."""
+        hypothesis.stateful.run_state_machine_as_test(
+            ConfigurationMachine, settings=builders.fuzz_settings(30, 20)
+        )
+
+    def test_baseline_breaks_the_oracle(self):
+        """Guards against an oracle that accepts everything."""
+        with self.assertRaises(AssertionError):
+            hypothesis.stateful.run_state_machine_as_test(
+                NaiveMachine, settings=builders.fuzz_settings(30, 20)
+            )
--- a/acaciamoor/harness/control.py
+++ b/acaciamoor/harness/control.py
@@ -246,7 +246,8 @@
                 self.platform.version, self.platform.services()
             )
             node.watch_version = self.platform.version
-        for change in self.platform.since(node.watch_version):
+        # A watch that starts far back delivers old changes for a while.
+        for change in self.platform.since(node.watch_version)[:1]:
             node.store.on_change(change)
             node.watch_version = change.version
         node.store.on_watch_alive(node.watch_version)
--- /dev/null
+++ b/acaciamoor/membership/tests/builders.py
@@ -0,0 +1,149 @@
+"""Fleets of control planes, and checks that watch them."""
+
+import collections
+import datetime
+import os
+import random
+
+import hypothesis
+
+from acaciamoor import clock as clocks
+from acaciamoor import configuration
+from acaciamoor import hashing
+from acaciamoor import membership
+from acaciamoor import model
+from acaciamoor.harness import control
+
+# How long a new placer waits before it binds work.
+SETTLE = datetime.timedelta(seconds=1)
+PLACER_KEY = hashing.hash64('placer of order-desk')
+
+
+def fuzz_settings(examples: int, steps: int) -> hypothesis.settings:
+    """Return short, repeatable settings; longer ones in the long profile."""
+    is_long = os.environ.get('ACACIAMOOR_FUZZ_PROFILE') == 'long'
+    return hypothesis.settings(
+        max_examples=examples * (20 if is_long else 1),
+        stateful_step_count=steps * (2 if is_long else 1),
+        derandomize=not is_long,
+        deadline=None,
+        database=None,
+        # Shrinking a run of many hosts takes minutes; the seed repeats it.
+        phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+def fleet(
+    count: int = 8,
+    seed: int = 7,
+    is_naive: bool = False,
+    link: object = None,
+    seconds: float = 4.0,
+) -> control.ControlFleet:
+    """Return a fleet that has run long enough to be in a steady state."""
+    built = control.ControlFleet(count, seed, link, is_naive)
+    built.warm_up()
+    built.run(seconds)
+    return built
+
+
+def views(built: control.ControlFleet) -> set[tuple[model.HostId, ...]]:
+    """Return the distinct sets of live hosts that the hosts see."""
+    return {node.table.view().live for node in built.nodes_by_id.values()}
+
+
+def lone_table(
+    clock: clocks.ManualClock,
+) -> tuple[membership.MembershipTable, membership.Probe]:
+    """Return the table of host ``a`` of three and its first probe."""
+    rng = random.Random(7)
+    host_id = model.HostId('a')
+    store = configuration.ConfigurationStore(
+        host_id, clock, rng, lambda change: 100
+    )
+    table = membership.MembershipTable(host_id, clock, rng, store)
+    table.on_host_list(membership.HostList(frozenset('abc')))
+    (send,) = table.tick()
+    return table, send.message
+
+
+def answer(
+    probe: membership.Probe,
+    host_id: str,
+    updates: tuple[membership.MemberUpdate, ...] = (),
+) -> membership.ProbeAck:
+    """Return an answer that calls all three hosts alive just now."""
+    member = membership.MemberUpdate(
+        model.HostId(host_id),
+        1,
+        membership.Phase.ACTIVE,
+        membership.Health.ALIVE,
+    )
+    return membership.ProbeAck(
+        probe.sequence,
+        member,
+        updates,
+        digest=configuration.ConfigurationDigest(0),
+        evidence=membership.Evidence(probe.listing, bytes(3)),
+    )
+
+
+class PlacerMonitor:
+    """Finds hosts that act as placer of one service at the same time.
+
+    A host acts when it has been first in rank in its own view for the settle
+    time and holds its lease.
+
+    Parameters
+    ----------
+    built : ControlFleet
+        The fleet to watch.
+    """
+
+    def __init__(self, built: control.ControlFleet) -> None:
+        self._fleet = built
+        self._first_since_by_id: dict[model.HostId, datetime.timedelta] = {}
+        self._acted_at_by_id: dict[model.HostId, datetime.timedelta] = {}
+        self._dead_since: dict[
+            tuple[model.HostId, model.HostId], datetime.timedelta
+        ] = {}
+        self.overlaps: collections.Counter = collections.Counter()
+        self.acting_though_dead: collections.Counter = collections.Counter()
+        built.observers.append(self._observe)
+
+    def _observe(self, node: control.Node) -> None:
+        now = self._fleet.clock.monotonic()
+        live = node.table.view().live
+        self._note_dead(node.host_id, live, now)
+        if hashing.ranked(PLACER_KEY, live, 1) != (node.host_id,):
+            self._first_since_by_id.pop(node.host_id, None)
+            return
+        since = self._first_since_by_id.setdefault(node.host_id, now)
+        if now - since < SETTLE or not node.table.holds_lease():
+            return
+        if 2 * self._dead_to(node.host_id, now) > len(self._fleet.host_ids):
+            self.acting_though_dead[node.host_id] += 1
+        self._acted_at_by_id[node.host_id] = now
+        for other, acted_at in self._acted_at_by_id.items():
+            if other != node.host_id and now - acted_at < membership.TICK:
+                self.overlaps[(other, node.host_id)] += 1
+
+    def _note_dead(
+        self,
+        observer: model.HostId,
+        live: tuple[model.HostId, ...],
+        now: datetime.timedelta,
+    ) -> None:
+        for host_id in self._fleet.host_ids:
+            if host_id in live:
+                self._dead_since.pop((observer, host_id), None)
+            else:
+                self._dead_since.setdefault((observer, host_id), now)
+
+    def _dead_to(self, host_id: model.HostId, now: datetime.timedelta) -> int:
+        return sum(
+            dead == host_id and now - since >= SETTLE
+            for (observer, dead), since in self._dead_since.items()
+            if observer in self._fleet.nodes_by_id
+        )
--- /dev/null
+++ b/acaciamoor/membership/tests/test_detection.py
@@ -0,0 +1,228 @@
+"""Failure detection: kills, cuts, losses, pauses, joins and leaves."""
+
+import dataclasses
+import datetime
+import unittest
+
+from acaciamoor import clock as clocks
+from acaciamoor import harness
+from acaciamoor import membership
+from acaciamoor import model
+from acaciamoor.membership.tests import builders
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+def removals(fleet, seconds):
+    """Return the members missing from any view during a run."""
+    missing = set()
+    fleet.observers.append(
+        lambda node: missing.update(
+            set(fleet.host_ids) - set(node.table.view().live)
+        )
+    )
+    fleet.run(seconds)
+    return missing
+
+
+class DetectionTest(unittest.TestCase):
+    def test_killed_host_is_removed_everywhere(self):
+        """Guards against work and flows that wait for a dead host."""
+        fleet = builders.fleet()
+        fleet.kill(fleet.host_ids[3])
+        fleet.run(2.6)
+        expected = tuple(sorted(fleet.nodes_by_id))
+        self.assertEqual({expected}, builders.views(fleet))
+
+    def test_broken_link_removes_nobody(self):
+        """Guards against judging a host by one broken path."""
+        for is_naive in (False, True):
+            fleet = builders.fleet(is_naive=is_naive)
+            fleet.network.cut(fleet.host_ids[0], fleet.host_ids[1])
+            with self.subTest(is_naive=is_naive):
+                self.assertEqual(is_naive, bool(removals(fleet, 10)))
+
+    def test_heavy_loss_removes_nobody(self):
+        """Guards against judging a host by a few lost datagrams."""
+        for is_naive in (False, True):
+            link = harness.LinkSettings(loss=0.2)
+            fleet = builders.fleet(link=link, is_naive=is_naive, seconds=8)
+            with self.subTest(is_naive=is_naive):
+                self.assertEqual(is_naive, bool(removals(fleet, 30)))
+
+    def test_deaf_host_is_removed_and_blames_nobody(self):
+        """Guards against a host that suspects all others."""
+        fleet = builders.fleet()
+        deaf, other = fleet.host_ids[:2]
+        for sender in fleet.host_ids[1:]:
+            fleet.network.cut(sender, deaf)
+        self.assertEqual({deaf}, removals(fleet, 4))
+        self.assertFalse(fleet.nodes_by_id[deaf].table.holds_lease())
+        self.assertTrue(fleet.nodes_by_id[other].table.holds_lease())
+
+    def test_mute_host_learns_that_it_is_doubted(self):
+        """Guards against coverage claims of a host that others replaced."""
+        fleet = builders.fleet()
+        mute = fleet.host_ids[0]
+        before = fleet.clock.monotonic()
+        fleet.cut_off([mute], both=False)
+        fleet.run(4)
+        table = fleet.nodes_by_id[mute].table
+        self.assertFalse(table.holds_lease())
+        self.assertGreater(table.doubted_since, before)
+
+    def test_resumed_host_has_no_lease(self):
+        """Guards against acting on a lease that lapsed during a pause."""
+        for is_naive in (False, True):
+            fleet = builders.fleet(is_naive=is_naive)
+            paused = fleet.host_ids[0]
+            node = fleet.nodes_by_id[paused]
+            self.assertTrue(node.table.holds_lease())
+            fleet.network.freeze(paused)
+            fleet.run(6)
+            with self.subTest(is_naive=is_naive):
+                self.assertEqual(is_naive, node.table.holds_lease())
+                self.assertEqual(is_naive, node.table.view().fresh)
+            now = fleet.clock.monotonic()
+            fleet.network.resume(paused)
+            fleet.run(6)
+            if not is_naive:
+                self.assertGreaterEqual(node.table.doubted_since, now)
+                self.assertTrue(node.table.holds_lease())
+                self.assertEqual({fleet.host_ids}, builders.views(fleet))
+
+    def test_minority_has_no_quorum_and_heals(self):
+        """Guards against two halves that both act, and lasting splits."""
+        fleet = builders.fleet(count=9)
+        minority = fleet.host_ids[:4]
+        fleet.cut_off(minority)
+        fleet.run(7)
+        quorums = {
+            host_id: node.table.view().quorum
+            for host_id, node in fleet.nodes_by_id.items()
+        }
+        self.assertEqual(
+            {host_id: host_id not in minority for host_id in fleet.host_ids},
+            quorums,
+        )
+        fleet.reconnect(minority)
+        fleet.run(6)
+        self.assertEqual({fleet.host_ids}, builders.views(fleet))
+
+    def test_half_with_the_lowest_host_has_the_quorum(self):
+        """Guards against an even split that stops or doubles all work."""
+        fleet = builders.fleet()
+        fleet.cut_off(fleet.host_ids[:4])
+        fleet.run(3)
+        for index, host_id in enumerate(fleet.host_ids):
+            table = fleet.nodes_by_id[host_id].table
+            self.assertEqual(index < 4, table.view().quorum)
+
+    def test_leaving_host_takes_no_roles_and_then_goes(self):
+        """Guards against new roles for a host that is about to exit."""
+        fleet = builders.fleet()
+        host_id = fleet.host_ids[2]
+        table = fleet.nodes_by_id[host_id].table
+        fleet.send_all(host_id, table.leave())
+        fleet.run(1.5)
+        for node in fleet.nodes_by_id.values():
+            self.assertEqual((host_id,), node.table.view().leaving)
+            self.assertNotIn(host_id, node.table.view().live)
+        fleet.send_all(host_id, table.exit())
+        fleet.run(0.01)
+        fleet.kill(host_id)
+        fleet.run(1)
+        for node in fleet.nodes_by_id.values():
+            self.assertEqual((), node.table.view().leaving)
+
+    def test_restarted_host_is_live_again(self):
+        """Guards against news of a former life that bars the new one."""
+        fleet = builders.fleet()
+        host_id = fleet.host_ids[5]
+        fleet.kill(host_id)
+        fleet.run(4)
+        fleet.start(host_id)
+        fleet.run(3)
+        self.assertEqual({fleet.host_ids}, builders.views(fleet))
+
+    def test_host_without_configuration_is_not_live(self):
+        """Guards against roles for a host that knows no services yet."""
+        fleet = builders.fleet()
+        fleet.platform.is_up = False
+        host_id = fleet.host_ids[1]
+        fleet.kill(host_id)
+        for other in fleet.host_ids:
+            fleet.network.cut(other, host_id)
+        fleet.run(3)
+        node = fleet.start(host_id)
+        fleet.run(1)
+        self.assertNotIn(host_id, node.table.view().live)
+
+
+class LeaseTest(unittest.TestCase):
+    def test_large_data_centre_keeps_its_leases(self):
+        """Guards against a quorum that only direct contact could prove."""
+        fleet = builders.fleet(count=64)
+        held = []
+        fleet.observers.append(
+            lambda node: held.append(node.table.holds_lease())
+        )
+        fleet.run(2)
+        self.assertTrue(all(held))
+
+    def test_answer_counts_from_the_time_of_its_probe(self):
+        """Guards against evidence that aged on the way unnoticed.
+
+        The answer claims an age of zero for all hosts, but it waited in the
+        socket buffer of a paused process.
+        """
+        clock = clocks.ManualClock()
+        table, probe = builders.lone_table(clock)
+        clock.advance(1.4 * SECOND)
+        table.on_message('b', builders.answer(probe, 'b'))
+        self.assertTrue(table.holds_lease())
+        clock.advance(0.2 * SECOND)
+        self.assertFalse(table.holds_lease())
+
+    def test_doubted_host_counts_no_earlier_evidence(self):
+        """Guards against a lease from hosts that hold a doubt by now."""
+        clock = clocks.ManualClock()
+        table, probe = builders.lone_table(clock)
+        table.on_message('b', builders.answer(probe, 'b'))
+        self.assertTrue(table.holds_lease())
+        doubt = dataclasses.replace(
+            probe.member, health=membership.Health.SUSPECT
+        )
+        ack = builders.answer(probe, 'b', updates=(doubt,))
+        table.on_message('b', ack)
+        self.assertFalse(table.holds_lease())
+        self.assertEqual(clock.monotonic(), table.doubted_since)
+
+    def test_hosts_with_different_lists_share_evidence(self):
+        """Guards against leases lost whenever the host list changes."""
+        fleet = builders.fleet()
+        longer = membership.HostList(
+            fleet.host_list.live | {model.HostId('kgn-a-new')}
+        )
+        for host_id in fleet.host_ids[::2]:
+            fleet.nodes_by_id[host_id].table.on_host_list(longer)
+        held = []
+        fleet.observers.append(
+            lambda node: held.append(node.table.holds_lease())
+        )
+        fleet.run(5)
+        self.assertTrue(all(held))
+
+    def test_partition_has_one_placer_at_a_time(self):
+        """Guards against two placers that run the same request."""
+        for is_naive in (False, True):
+            fleet = builders.fleet(is_naive=is_naive)
+            monitor = builders.PlacerMonitor(fleet)
+            for host_id in fleet.host_ids:
+                fleet.run(2)
+                fleet.cut_off([host_id])
+                fleet.run(6)
+                fleet.reconnect([host_id])
+            with self.subTest(is_naive=is_naive):
+                self.assertEqual(is_naive, bool(monitor.overlaps))
+                self.assertEqual(is_naive, bool(monitor.acting_though_dead))
