--- a/acaciamoor/configuration/tests/test_fuzz_configuration.py
+++ b/acaciamoor/configuration/tests/test_fuzz_configuration.py
@@ -2,9 +2,8 @@
 
 import unittest
 
-import hypothesis
+from hypothesis import stateful
 from hypothesis import strategies
-import hypothesis.stateful
 
 from acaciamoor import harness
 from acaciamoor.membership.tests import builders
@@ -17,7 +16,7 @@
 CONVERGENCE_SECONDS = 9
 
 
-class ConfigurationMachine(hypothesis.stateful.RuleBasedStateMachine):
+class ConfigurationMachine(stateful.RuleBasedStateMachine):
     """Hosts that follow changes through outages, cuts and restarts."""
 
     is_naive = False
@@ -50,43 +49,43 @@
             return self.undo_by_fault[fault] == undo
         return False
 
-    @hypothesis.stateful.rule(service_id=SERVICE)
+    @stateful.rule(service_id=SERVICE)
     def write(self, service_id):
         if self.fleet.platform.is_up:
             self.fleet.platform.write(
                 service_id, services.service(service_id=service_id)
             )
 
-    @hypothesis.stateful.rule(service_id=SERVICE)
+    @stateful.rule(service_id=SERVICE)
     def delete(self, service_id):
         if self.fleet.platform.is_up:
             self.fleet.platform.write(service_id)
 
-    @hypothesis.stateful.rule()
+    @stateful.rule()
     def fail_platform(self):
         if self._add('platform', self._restore_platform):
             self.fleet.platform.is_up = False
 
-    @hypothesis.stateful.rule(index=HOST)
+    @stateful.rule(index=HOST)
     def resume_stale_watch(self, index):
         node = self.fleet.nodes_by_id[self.fleet.host_ids[index]]
         node.watch_version = 0
 
-    @hypothesis.stateful.rule(index=HOST)
+    @stateful.rule(index=HOST)
     def cut_platform(self, index):
         host_id = self.fleet.host_ids[index]
         cut = self.fleet.unreachable_platform
         if self._add(('watch', index), lambda: cut.discard(host_id)):
             cut.add(host_id)
 
-    @hypothesis.stateful.rule(index=HOST)
+    @stateful.rule(index=HOST)
     def restart(self, index):
         host_id = self.fleet.host_ids[index]
         self.fleet.kill(host_id)
         self.fleet.start(host_id)
         self.fleet.run(1)
 
-    @hypothesis.stateful.rule(index=HOST)
+    @stateful.rule(index=HOST)
     def freeze(self, index):
         host_id = self.fleet.host_ids[index]
         if self._add(
@@ -94,29 +93,27 @@
         ):
             self.fleet.network.freeze(host_id)
 
-    @hypothesis.stateful.rule(index=HOST, both=strategies.booleans())
+    @stateful.rule(index=HOST, both=strategies.booleans())
     def cut_off(self, index, both):
         host_id = self.fleet.host_ids[index]
         if self._add(('cut', index), lambda: self.fleet.reconnect([host_id])):
             self.fleet.cut_off([host_id], both)
 
-    @hypothesis.stateful.rule()
+    @stateful.rule()
     def lose(self):
         if self._add('loss', self._stop_losses):
             self.fleet.network.link = harness.LinkSettings(loss=0.2)
 
-    @hypothesis.stateful.rule()
+    @stateful.rule()
     def repair(self):
         if self.undo_by_fault:
             self.undo_by_fault.pop(next(iter(self.undo_by_fault)))()
 
-    @hypothesis.stateful.rule(
-        tenths=strategies.integers(min_value=1, max_value=40)
-    )
+    @stateful.rule(tenths=strategies.integers(min_value=1, max_value=40))
     def run(self, tenths):
         self.fleet.run(tenths / 10)
 
-    @hypothesis.stateful.invariant()
+    @stateful.invariant()
     def versions_never_go_back(self):
         assert not self.reversals, self.reversals[:3]
 
@@ -155,13 +152,13 @@
 class FuzzConfigurationTest(unittest.TestCase):
     def test_no_reversal_and_convergence(self):
         """Guards against hosts that go back to an older version."""
-        hypothesis.stateful.run_state_machine_as_test(
+        stateful.run_state_machine_as_test(
             ConfigurationMachine, settings=builders.fuzz_settings(30, 20)
         )
 
     def test_baseline_breaks_the_oracle(self):
         """Guards against an oracle that accepts everything."""
         with self.assertRaises(AssertionError):
-            hypothesis.stateful.run_state_machine_as_test(
+            stateful.run_state_machine_as_test(
                 NaiveMachine, settings=builders.fuzz_settings(30, 20)
             )
--- a/acaciamoor/configuration/tests/test_store.py
+++ b/acaciamoor/configuration/tests/test_store.py
@@ -6,18 +6,19 @@
 
 from acaciamoor import clock as clocks
 from acaciamoor import configuration
-from acaciamoor import model
 from acaciamoor.harness import control_sizes
+from acaciamoor.model import identifiers
+from acaciamoor.model import members
 from acaciamoor.model.tests import builders
 
 SECOND = datetime.timedelta(seconds=1)
-PEER = model.HostId('peer')
+PEER = identifiers.HostId('peer')
 
 
 def store(clock, size_of=control_sizes.change_size):
     """Return an empty store."""
     return configuration.ConfigurationStore(
-        model.HostId('a'), clock, random.Random(7), size_of
+        identifiers.HostId('a'), clock, random.Random(7), size_of
     )
 
 
@@ -49,7 +50,7 @@
 
 def view(live=('a', 'b'), quorum=True):
     """Return a view of the members."""
-    return model.MembershipView(1, live, (), quorum, True)
+    return members.MembershipView(1, live, (), quorum, True)
 
 
 class AdoptionTest(unittest.TestCase):
--- a/acaciamoor/membership/tests/builders.py
+++ b/acaciamoor/membership/tests/builders.py
@@ -9,14 +9,15 @@
 
 from acaciamoor import clock as clocks
 from acaciamoor import configuration
-from acaciamoor import hashing
-from acaciamoor import membership
-from acaciamoor import model
 from acaciamoor.harness import control
+from acaciamoor.hashing import rendezvous
+from acaciamoor.membership import messages
+from acaciamoor.membership import table as tables
+from acaciamoor.model import identifiers
 
 # How long a new placer waits before it binds work.
 SETTLE = datetime.timedelta(seconds=1)
-PLACER_KEY = hashing.hash64('placer of order-desk')
+PLACER_KEY = rendezvous.hash64('placer of order-desk')
 
 
 def fuzz_settings(examples: int, steps: int) -> hypothesis.settings:
@@ -48,44 +49,44 @@
     return built
 
 
-def views(built: control.ControlFleet) -> set[tuple[model.HostId, ...]]:
+def views(built: control.ControlFleet) -> set[tuple[identifiers.HostId, ...]]:
     """Return the distinct sets of live hosts that the hosts see."""
     return {node.table.view().live for node in built.nodes_by_id.values()}
 
 
 def lone_table(
     clock: clocks.ManualClock,
-) -> tuple[membership.MembershipTable, membership.Probe]:
+) -> tuple[tables.MembershipTable, messages.Probe]:
     """Return the table of host ``a`` of three and its first probe."""
     rng = random.Random(7)
-    host_id = model.HostId('a')
+    host_id = identifiers.HostId('a')
     store = configuration.ConfigurationStore(
         host_id, clock, rng, lambda change: 100
     )
-    table = membership.MembershipTable(host_id, clock, rng, store)
-    table.on_host_list(membership.HostList(frozenset('abc')))
+    table = tables.MembershipTable(host_id, clock, rng, store)
+    table.on_host_list(tables.HostList(frozenset('abc')))
     (send,) = table.tick()
     return table, send.message
 
 
 def answer(
-    probe: membership.Probe,
+    probe: messages.Probe,
     host_id: str,
-    updates: tuple[membership.MemberUpdate, ...] = (),
-) -> membership.ProbeAck:
+    updates: tuple[messages.MemberUpdate, ...] = (),
+) -> messages.ProbeAck:
     """Return an answer that calls all three hosts alive just now."""
-    member = membership.MemberUpdate(
-        model.HostId(host_id),
+    member = messages.MemberUpdate(
+        identifiers.HostId(host_id),
         1,
-        membership.Phase.ACTIVE,
-        membership.Health.ALIVE,
+        messages.Phase.ACTIVE,
+        messages.Health.ALIVE,
     )
-    return membership.ProbeAck(
+    return messages.ProbeAck(
         probe.sequence,
         member,
         updates,
         digest=configuration.ConfigurationDigest(0),
-        evidence=membership.Evidence(probe.listing, bytes(3)),
+        evidence=messages.Evidence(probe.listing, bytes(3)),
     )
 
 
@@ -103,10 +104,12 @@
 
     def __init__(self, built: control.ControlFleet) -> None:
         self._fleet = built
-        self._first_since_by_id: dict[model.HostId, datetime.timedelta] = {}
-        self._acted_at_by_id: dict[model.HostId, datetime.timedelta] = {}
+        self._first_since_by_id: dict[
+            identifiers.HostId, datetime.timedelta
+        ] = {}
+        self._acted_at_by_id: dict[identifiers.HostId, datetime.timedelta] = {}
         self._dead_since: dict[
-            tuple[model.HostId, model.HostId], datetime.timedelta
+            tuple[identifiers.HostId, identifiers.HostId], datetime.timedelta
         ] = {}
         self.overlaps: collections.Counter = collections.Counter()
         self.acting_though_dead: collections.Counter = collections.Counter()
@@ -116,7 +119,7 @@
         now = self._fleet.clock.monotonic()
         live = node.table.view().live
         self._note_dead(node.host_id, live, now)
-        if hashing.ranked(PLACER_KEY, live, 1) != (node.host_id,):
+        if rendezvous.ranked(PLACER_KEY, live, 1) != (node.host_id,):
             self._first_since_by_id.pop(node.host_id, None)
             return
         since = self._first_since_by_id.setdefault(node.host_id, now)
@@ -126,13 +129,13 @@
             self.acting_though_dead[node.host_id] += 1
         self._acted_at_by_id[node.host_id] = now
         for other, acted_at in self._acted_at_by_id.items():
-            if other != node.host_id and now - acted_at < membership.TICK:
+            if other != node.host_id and now - acted_at < tables.TICK:
                 self.overlaps[(other, node.host_id)] += 1
 
     def _note_dead(
         self,
-        observer: model.HostId,
-        live: tuple[model.HostId, ...],
+        observer: identifiers.HostId,
+        live: tuple[identifiers.HostId, ...],
         now: datetime.timedelta,
     ) -> None:
         for host_id in self._fleet.host_ids:
@@ -141,7 +144,9 @@
             else:
                 self._dead_since.setdefault((observer, host_id), now)
 
-    def _dead_to(self, host_id: model.HostId, now: datetime.timedelta) -> int:
+    def _dead_to(
+        self, host_id: identifiers.HostId, now: datetime.timedelta
+    ) -> int:
         return sum(
             dead == host_id and now - since >= SETTLE
             for (observer, dead), since in self._dead_since.items()
--- a/acaciamoor/membership/tests/test_detection.py
+++ b/acaciamoor/membership/tests/test_detection.py
@@ -7,8 +7,8 @@
 from acaciamoor import clock as clocks
 from acaciamoor import harness
 from acaciamoor import membership
-from acaciamoor import model
 from acaciamoor.membership.tests import builders
+from acaciamoor.model import identifiers
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -202,7 +202,7 @@
         """Guards against leases lost whenever the host list changes."""
         fleet = builders.fleet()
         longer = membership.HostList(
-            fleet.host_list.live | {model.HostId('kgn-a-new')}
+            fleet.host_list.live | {identifiers.HostId('kgn-a-new')}
         )
         for host_id in fleet.host_ids[::2]:
             fleet.nodes_by_id[host_id].table.on_host_list(longer)
--- a/acaciamoor/membership/tests/test_fuzz_membership.py
+++ b/acaciamoor/membership/tests/test_fuzz_membership.py
@@ -2,9 +2,8 @@
 
 import unittest
 
-import hypothesis
+from hypothesis import stateful
 from hypothesis import strategies
-import hypothesis.stateful
 
 from acaciamoor import harness
 from acaciamoor import hashing
@@ -16,7 +15,7 @@
 CONVERGENCE_SECONDS = 9
 
 
-class MembershipMachine(hypothesis.stateful.RuleBasedStateMachine):
+class MembershipMachine(stateful.RuleBasedStateMachine):
     """Hosts that are killed, paused, cut off and restarted."""
 
     is_naive = False
@@ -39,21 +38,21 @@
         used = {fault[1] for fault in self.undo_by_fault}
         return len(self.undo_by_fault) < MAX_FAULTS and index not in used
 
-    @hypothesis.stateful.rule(index=HOST)
+    @stateful.rule(index=HOST)
     def kill(self, index):
         if self._may_add(index):
             host_id = self.ranked_ids[index]
             self.fleet.kill(host_id)
             self._add(('kill', index), lambda: self.fleet.start(host_id))
 
-    @hypothesis.stateful.rule(index=HOST)
+    @stateful.rule(index=HOST)
     def restart(self, index):
         if self._may_add(index):
             host_id = self.ranked_ids[index]
             self.fleet.kill(host_id)
             self.fleet.start(host_id)
 
-    @hypothesis.stateful.rule(index=HOST)
+    @stateful.rule(index=HOST)
     def freeze(self, index):
         if self._may_add(index):
             host_id = self.ranked_ids[index]
@@ -62,7 +61,7 @@
                 ('freeze', index), lambda: self.fleet.network.resume(host_id)
             )
 
-    @hypothesis.stateful.rule(
+    @stateful.rule(
         index=HOST,
         size=strategies.integers(min_value=1, max_value=HOSTS // 2),
         both=strategies.booleans(),
@@ -73,7 +72,7 @@
             self.fleet.cut_off(hosts, both)
             self._add(('cut', index), lambda: self._heal_cuts(('cut', index)))
 
-    @hypothesis.stateful.rule(index=HOST)
+    @stateful.rule(index=HOST)
     def lose(self, index):
         if self._may_add('links'):
             self.fleet.network.link = harness.LinkSettings(
@@ -81,19 +80,17 @@
             )
             self._add(('lose', 'links'), self._stop_losses)
 
-    @hypothesis.stateful.rule()
+    @stateful.rule()
     def repair(self):
         if self.undo_by_fault:
             fault = next(iter(self.undo_by_fault))
             self.undo_by_fault.pop(fault)()
 
-    @hypothesis.stateful.rule(
-        tenths=strategies.integers(min_value=1, max_value=40)
-    )
+    @stateful.rule(tenths=strategies.integers(min_value=1, max_value=40))
     def run(self, tenths):
         self.fleet.run(tenths / 10)
 
-    @hypothesis.stateful.invariant()
+    @stateful.invariant()
     def one_placer_at_a_time(self):
         assert not self.monitor.overlaps, self.monitor.overlaps
         assert not self.monitor.acting_though_dead, (
@@ -132,13 +129,13 @@
 class FuzzMembershipTest(unittest.TestCase):
     def test_one_placer_and_convergence(self):
         """Guards against two acting placers and views that stay apart."""
-        hypothesis.stateful.run_state_machine_as_test(
+        stateful.run_state_machine_as_test(
             MembershipMachine, settings=builders.fuzz_settings(15, 15)
         )
 
     def test_baseline_breaks_the_oracle(self):
         """Guards against an oracle that accepts everything."""
         with self.assertRaises(AssertionError):
-            hypothesis.stateful.run_state_machine_as_test(
+            stateful.run_state_machine_as_test(
                 NaiveMachine, settings=builders.fuzz_settings(15, 15)
             )
