--- a/acaciamoor/membership/identity.py
+++ b/acaciamoor/membership/identity.py
@@ -48,10 +48,17 @@
         """Whether this host called itself gone."""
         return self.update.health is messages.Health.DEAD
 
-    def activate(self) -> None:
-        """Announce this host as a member if it is joining."""
-        if self.update.phase is messages.Phase.JOINING:
-            self.enter(messages.Phase.ACTIVE)
+    def activate(self, now: datetime.timedelta) -> bool:
+        """Announce this host as a member; False if it is one already.
+
+        The host that leads in its place meanwhile has to hear of it before
+        this host may lead, so the lease starts later.
+        """
+        if self.update.phase is not messages.Phase.JOINING:
+            return False
+        self.enter(messages.Phase.ACTIVE)
+        self.lease_withheld_since = now
+        return True
 
     def enter(self, phase: messages.Phase) -> None:
         """Announce another phase."""
--- a/acaciamoor/membership/table.py
+++ b/acaciamoor/membership/table.py
@@ -98,13 +98,16 @@
         if self._identity.is_gone:
             return []
         quorum = self._has_quorum(now)
+        if not quorum:
+            # Views of both sides have to merge before anyone leads again.
+            self._identity.lease_withheld_since = now
         for target in self._exchange.take_failed():
             self._detector.on_failed_probe(target, quorum, now)
-        declared_dead = self._detector.tick(quorum, now)
-        if self._peer.is_complete:
-            self._identity.activate()
+        is_urgent = self._detector.tick(quorum, now)
+        if self._peer.is_complete and self._identity.activate(now):
+            is_urgent = True
         return [
-            *(self._exchange.announce() if declared_dead else ()),
+            *(self._exchange.announce() if is_urgent else ()),
             *self._exchange.ask_helpers(),
             *self._exchange.probe_if_due(
                 self._hosts.live | self._hosts.leaving,
@@ -131,8 +134,9 @@
     def holds_lease(self) -> bool:
         """Return whether this host heard from a quorum within 1.5 s.
 
-        A paused, suspected or dead-declared host has no lease until it has
-        refuted and heard from a quorum again.
+        A host that joined, was paused, suspected or declared dead, or had no
+        quorum, waits for 1.5 s after it heard from a quorum again, so that
+        views merge and its replacement hears of it.
         """
         self._detect_pause()
         now = self._clock.monotonic()
