--- a/acaciamoor/membership/evidence.py
+++ b/acaciamoor/membership/evidence.py
@@ -32,7 +32,7 @@
 _UNKNOWN_AGE = 127
 _CONFIRMED_BIT = 128
 # Entries in an answer to a host that has another host list, 5 bytes each.
-MAX_TAGGED = 128
+MAX_TAGGED = 220
 _MICROSECOND = datetime.timedelta(microseconds=1)
 _AGE_UNIT_US = AGE_UNIT // _MICROSECOND
 _NEVER_US = -(10**15)
--- a/acaciamoor/membership/exchange.py
+++ b/acaciamoor/membership/exchange.py
@@ -131,10 +131,9 @@
             self._next_probe_at + prober.probe_period(len(listed)), now
         )
         live = self._members.live_ids
-        target = self._order.next(
-            live, listed - live - {self._identity.host_id}
+        targets = dict.fromkeys(
+            self._order.next(live, listed - live - {self._identity.host_id})
         )
-        targets = dict.fromkeys([target] if target else [])
         targets.update(dict.fromkeys(reprobed))
         return [self._probe(item) for item in targets]
 
--- a/acaciamoor/membership/prober.py
+++ b/acaciamoor/membership/prober.py
@@ -18,8 +18,8 @@
 DIRECT_TIMEOUT = datetime.timedelta(milliseconds=100)
 PROBE_TIMEOUT = datetime.timedelta(milliseconds=300)
 HELPERS = 3
-# Every eighth probe goes to a listed host that is not a live member, so that
-# partitions heal and new hosts are found.
+# Every eighth time, a listed host that is not a live member is probed too, so
+# that partitions heal and new hosts are found.
 RECONNECT_EVERY = 8
 # A helper forwards at most this many probes at a time.
 MAX_FORWARDED = 8
@@ -158,26 +158,33 @@
         self,
         live: collections.abc.Set[identifiers.HostId],
         others: collections.abc.Set[identifiers.HostId],
-    ) -> identifiers.HostId | None:
-        """Return the next host to probe.
+    ) -> list[identifiers.HostId]:
+        """Return the next hosts to probe, at most two.
 
         Parameters
         ----------
         live : Set of HostId
             Members that are not dead.
         others : Set of HostId
-            Listed hosts that are dead or not known.
+            Listed hosts that are dead or not known. They are probed in
+            addition, so that they do not slow the gossip of the live ones.
         """
         self._count += 1
+        targets = self._next_live(live)
         if others and (not live or self._count % RECONNECT_EVERY == 0):
-            return self._rng.choice(sorted(others))
+            targets.append(self._rng.choice(sorted(others)))
+        return targets
+
+    def _next_live(
+        self, live: collections.abc.Set[identifiers.HostId]
+    ) -> list[identifiers.HostId]:
         while self._round:
             host_id = self._round.pop()
             if host_id in live:
-                return host_id
+                return [host_id]
         self._round = sorted(live)
         self._rng.shuffle(self._round)
-        return self._round.pop() if self._round else None
+        return [self._round.pop()] if self._round else []
 
     def helpers(
         self,
