--- a/acaciamoor/load/capacity/control.py
+++ b/acaciamoor/load/capacity/control.py
@@ -59,9 +59,7 @@
         )
         encoded.append(slopes.Sample(upstreams, len(compact.pack(change))))
     return [
-        slopes.fit(
-            'encoded configuration change', 'B', 'upstreams', encoded
-        )
+        slopes.fit('encoded configuration change', 'B', 'upstreams', encoded)
     ]
 
 
@@ -71,9 +69,7 @@
     for services in (250, 500, 1000):
         used = samples.memory_of(lambda count=services: _filled(count, seed))
         points.append(slopes.Sample(services, used))
-    return [
-        slopes.fit('memory of the configuration', 'B', 'services', points)
-    ]
+    return [slopes.fit('memory of the configuration', 'B', 'services', points)]
 
 
 def _steady(
--- a/acaciamoor/load/catalogue.py
+++ b/acaciamoor/load/catalogue.py
@@ -1,8 +1,14 @@
 """All scenarios of the load tool."""
 
 from acaciamoor.load import scenarios
+from acaciamoor.load.scenarios import flows
+from acaciamoor.load.scenarios import placement
+from acaciamoor.load.scenarios import throughput
 
 
 def registry() -> scenarios.ScenarioRegistry:
     """Return every scenario in the order of the bench."""
-    return scenarios.ScenarioRegistry()
+    result = scenarios.ScenarioRegistry()
+    for module in (flows, placement, throughput):
+        module.register(result)
+    return result
