--- /dev/null
+++ b/acaciamoor/load/capacity/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the capacity program as ``python -m acaciamoor.load.capacity``."""
+
+import sys
+
+from acaciamoor.load.capacity import main
+
+sys.exit(main.main())
--- a/acaciamoor/load/capacity/control.py
+++ b/acaciamoor/load/capacity/control.py
@@ -4,14 +4,18 @@
 import random
 import time
 
+import msgspec
+
 from acaciamoor import configuration
 from acaciamoor import model
+from acaciamoor import platform
 from acaciamoor import wire
 from acaciamoor.balancer.core import compact
 from acaciamoor.harness import control
 from acaciamoor.harness import control_sizes
 from acaciamoor.load import slopes
 from acaciamoor.load.capacity import samples
+from acaciamoor.platform import codec
 
 # The largest size is the mean data centre of the plan.
 HOSTS = (8, 64, 367)
@@ -63,6 +67,22 @@
     ]
 
 
+def host_list_slopes(seed: int) -> list[slopes.Slope]:
+    """Return the bytes of the host list of a data centre by hosts."""
+    points = []
+    for hosts in HOSTS:
+        listing = codec.ListDocument(
+            codec.Metadata(resource_version=str(hosts)),
+            [_host_document(number) for number in range(hosts)],
+        )
+        points.append(slopes.Sample(hosts, len(msgspec.json.encode(listing))))
+    return [
+        slopes.fit(
+            'encoded host list', 'B', 'hosts of the data centre', points
+        )
+    ]
+
+
 def store_slopes(seed: int) -> list[slopes.Slope]:
     """Return the memory of the configuration at a host by services."""
     points = []
@@ -93,6 +113,22 @@
     )
 
 
+def _host_document(number: int) -> codec.ObjectDocument:
+    address = model.Address('127.0.0.1', 10_000 + number)
+    return codec.encode_stored(
+        platform.StoredObject(
+            'hosts',
+            f'{samples.DATA_CENTRE}-{number}',
+            number + 1,
+            {
+                'data_centre': samples.DATA_CENTRE,
+                'address': str(address),
+                'state': platform.HostState.LIVE.value,
+            },
+        )
+    )
+
+
 def _encode(host_id: str, send) -> bytes:
     body = wire.Document(
         type(send.message).__name__, compact.pack(send.message)
