--- a/acaciamoor/load/scenarios/flow_cluster.py
+++ b/acaciamoor/load/scenarios/flow_cluster.py
@@ -291,6 +291,7 @@
     def _send_open(self, flow: CallerFlow) -> None:
         if flow.delivered is None:
             self._spray(flow, wire.EnvelopeKind.OPEN)
+        if flow.delivered is None:
             self.network.call_later(_OPEN_RETRY, lambda: self._send_open(flow))
 
     def _spray(self, flow: CallerFlow, kind: wire.EnvelopeKind) -> None:
--- a/acaciamoor/naive/flows.py
+++ b/acaciamoor/naive/flows.py
@@ -53,6 +53,9 @@
         self._uses_table = table
         self._uses_token = token
         self._views_by_service: dict[model.ServiceId, views.ServiceView] = {}
+        self._weights_by_service: dict[
+            model.ServiceId, dict[model.UpstreamId, float]
+        ] = {}
         self._ids_by_flow: dict[
             tuple[model.ServiceId, int], model.UpstreamId
         ] = {}
@@ -68,6 +71,9 @@
         if known is not None and known.version >= view.version:
             return False
         self._views_by_service[view.service_id] = view
+        self._weights_by_service[view.service_id] = {
+            item.upstream_id: item.weight for item in view.candidates
+        }
         return True
 
     def retained_views(
@@ -124,15 +130,12 @@
     def _choose(
         self, view: views.ServiceView, flow: int
     ) -> model.UpstreamId | None:
-        candidates = view.candidates
-        if not candidates:
+        weights = self._weights_by_service[view.service_id]
+        if not weights:
             return None
         if self._placement is Placement.MODULO:
-            number = hashing.score(flow, 0) % len(candidates)
-            return candidates[number].upstream_id
-        return hashing.choose_weighted(
-            flow, {item.upstream_id: item.weight for item in candidates}
-        )
+            return list(weights)[hashing.score(flow, 0) % len(weights)]
+        return hashing.choose_weighted(flow, weights)
 
 
 class ReplicatingRouter(NaiveRouter):
