--- a/acaciamoor/placement/admission.py
+++ b/acaciamoor/placement/admission.py
@@ -14,6 +14,10 @@
 # Share of the time to the deadline that the expected wait may take. The rest
 # covers the error of the estimate, so that few requests are refused late.
 WAIT_SHARE = 0.5
+# Expected wait for a slot at which short work is refused, even if its
+# deadline is far. A longer queue would not raise the goodput at a peak of
+# demand, and all short work would be late.
+LONGEST_SHORT_WAIT = datetime.timedelta(milliseconds=100)
 # Share of the queue that announced long work may fill.
 LONG_QUEUE_SHARE = 0.25
 
@@ -51,14 +55,16 @@
         """Return why a request that has just arrived may not wait."""
         if self._is_full(item.lane, policy):
             return works.Reason.QUEUE_FULL
-        slots = self._pool.total_slots()
+        slots = self._pool.total_slots
         if not slots:
             return works.Reason.NO_UPSTREAM
         left = item.work.deadline - now
-        wait = max(item.not_before, self._settled_at(now)) - now
-        wait += datetime.timedelta(
+        queueing = datetime.timedelta(
             seconds=self._queueing_seconds(item, policy, slots, now)
         )
+        wait = max(item.not_before, self._settled_at(now)) - now + queueing
+        if item.lane is _Lane.SHORT and queueing > LONGEST_SHORT_WAIT:
+            return works.Reason.QUEUE_FULL
         if wait > left * WAIT_SHARE or self.is_late(item, now + wait):
             return works.Reason.DEADLINE
         return None
@@ -84,7 +90,7 @@
         that a long peak of short work does not shut it out.
         """
         total = self._long_work.total(now, self._times.long_after())
-        if total >= self._long_cap(policy, self._pool.total_slots()):
+        if total >= self._long_cap(policy, self._pool.total_slots):
             return (_Lane.SHORT,)
         if not self._long_work.announced:
             return (_Lane.LONG, _Lane.SHORT)
@@ -112,7 +118,7 @@
             servers = min(slots, self._long_cap(policy, slots))
         else:
             servers = max(1, slots - self._long_work.announced)
-        if not ahead and self._pool.free(now):
+        if not ahead and self._pool.has_free(now):
             wait = 0.0
         else:
             wait = (ahead + 1) * self._times.mean(item.lane) / servers
