--- a/acaciamoor/load/scenarios/placement.py
+++ b/acaciamoor/load/scenarios/placement.py
@@ -25,7 +25,7 @@
 CREST = 3.0
 _SECOND = datetime.timedelta(seconds=1)
 # Longest virtual time of a run; longer ones would exceed 15 s of real time.
-_LONGEST = 12 * _SECOND
+_LONGEST = 20 * _SECOND
 _CREST_START = 4 * _SECOND
 _CREST_END = 8 * _SECOND
 
@@ -48,7 +48,8 @@
 def _steady(
     world: worlds.World, mix: loads.Mix, options: registries.Options
 ) -> loads.Load:
-    rate = USED_SHARE * loads.capacity(world.settings, mix)
+    # Arrivals are those with stragglers, also in the run without them.
+    rate = USED_SHARE * loads.capacity(world.settings, loads.Mix())
     load = loads.Load(world, mix, lambda elapsed: rate, options.seed)
     load.run(min(options.duration, _LONGEST), 5 * _SECOND)
     return load
@@ -85,9 +86,14 @@
 def run_crest(options: registries.Options) -> Measurements:
     """Measure 4 s of demand at three times the capacity."""
     out = figures.Figures('crest', options.seed)
-    for kind in (None, Kind.TWO_OWN, Kind.LEAST_EXACT):
+    for kind, announced in (
+        (None, 0.5),
+        (None, 1.0),
+        (Kind.TWO_OWN, 0.5),
+        (Kind.LEAST_EXACT, 0.5),
+    ):
         world = _world(options, kind)
-        mix = loads.Mix(timeout=3 * _SECOND)
+        mix = loads.Mix(timeout=3 * _SECOND, announced=announced)
         full = loads.capacity(world.settings, mix)
 
         def rate(elapsed: datetime.timedelta, full: float = full) -> float:
@@ -96,7 +102,8 @@
 
         load = loads.Load(world, mix, rate, options.seed)
         load.run(3 * _CREST_START, 3 * _SECOND)
-        _add_crest(out, kind, world, load)
+        label = '' if announced < 1.0 else ', all long work announced'
+        _add_crest(out, kind, world, load, label)
     return out.measurements
 
 
@@ -105,6 +112,7 @@
     kind: Kind | None,
     world: worlds.World,
     load: loads.Load,
+    label: str,
 ) -> None:
     start, end = load.start + _CREST_START, load.start + _CREST_END
     at_crest = [i for i in load.sent if start <= i.record.sent_at < end]
@@ -115,7 +123,7 @@
     slots = world.settings.upstreams * world.settings.slots
     out.add(
         kind,
-        'goodput at the crest, share of the slots',
+        f'goodput at the crest, share of the slots{label}',
         worked / (slots * (end - start)),
         'ratio',
         figures.target(figures.AT_LEAST, 0.9),
@@ -127,21 +135,24 @@
     ]
     out.add(
         kind,
-        'p99 of refusals at the crest',
+        f'p99 of refusals at the crest{label}',
         loads.percentile_ms(refused, 0.99),
         'ms',
         figures.target(figures.LESS, 10.0),
     )
-    out.add(kind, 'p99 of short work', loads.short_p99_ms(at_crest), 'ms')
+    p99 = loads.short_p99_ms(at_crest)
+    out.add(kind, f'p99 of short work{label}', p99, 'ms')
     short = [item for item in at_crest if not item.straggler]
     completed = sum(item.completed for item in short)
-    out.add(kind, 'short work completed', completed / len(short), 'ratio')
+    share = completed / len(short)
+    out.add(kind, f'short work completed{label}', share, 'ratio')
     late = sorted(
         item.record.sent_at - end
         for item in load.sent
         if item.record.sent_at >= end and _waited_long(item)
     )
-    out.add(kind, 'recovery', _first_calm(late).total_seconds(), 's')
+    recovery = _first_calm(late).total_seconds()
+    out.add(kind, f'recovery{label}', recovery, 's')
 
 
 def _first_calm(late: list[datetime.timedelta]) -> datetime.timedelta:
--- a/acaciamoor/placement/queue.py
+++ b/acaciamoor/placement/queue.py
@@ -38,13 +38,14 @@
             tuple[datetime.timedelta, int, pendings.Pending]
         ] = []
         self._retries: list[pendings.Pending] = []
+        self._size = 0
         self._counts_by_lane = dict.fromkeys(pendings.Lane, 0)
         self._counts_by_home: collections.Counter[model.UpstreamId] = (
             collections.Counter()
         )
 
     def __len__(self) -> int:
-        return sum(self._counts_by_lane.values())
+        return self._size
 
     def count(self, lane: pendings.Lane) -> int:
         """Return the requests that wait in `lane`."""
@@ -58,6 +59,7 @@
         """Add a request."""
         item.waiting = True
         self._counts_by_lane[item.lane] += 1
+        self._size += 1
         if item.home is not None:
             self._counts_by_home[item.home] += 1
         if item.not_before > now:
@@ -71,6 +73,7 @@
             return
         item.waiting = False
         self._counts_by_lane[item.lane] -= 1
+        self._size -= 1
         if item.home is not None:
             self._counts_by_home[item.home] -= 1
 
@@ -107,6 +110,7 @@
         item.home = home
         item.waiting = True
         self._counts_by_lane[item.lane] += 1
+        self._size += 1
         self._counts_by_home[home] += 1
         self._place(item)
 
