--- a/acaciamoor/load/tests/test_placement_scenarios.py
+++ b/acaciamoor/load/tests/test_placement_scenarios.py
@@ -1,6 +1,7 @@
 """The guarantees for work hold with the placer and not without it."""
 
 import datetime
+import functools
 import unittest
 
 from acaciamoor.load import measurement
@@ -10,15 +11,20 @@
 OPTIONS = registries.Options(duration=datetime.timedelta(seconds=5))
 
 
-def figures(scenario, naive=False):
-    """Run a scenario and return the figures of one variant by measure."""
+@functools.cache
+def run(scenario):
+    """Run a scenario once for all tests."""
     registry = registries.ScenarioRegistry()
     placement.register(registry)
+    return registry.scenarios_by_name[scenario].run(OPTIONS)
+
+
+def figures(scenario, naive=False):
+    """Return the figures of one variant."""
     variant = (
         measurement.Variant.NAIVE if naive else measurement.Variant.ACACIAMOOR
     )
-    measured = registry.scenarios_by_name[scenario].run(OPTIONS)
-    return [item for item in measured if item.variant is variant]
+    return [item for item in run(scenario) if item.variant is variant]
 
 
 class PlacementScenariosTest(unittest.TestCase):
