--- a/acaciamoor/model/members.py
+++ b/acaciamoor/model/members.py
@@ -1,4 +1,4 @@
-"""Hosts of a data centre as one host sees them."""
+"""The hosts of one data centre as one balancer sees them."""
 
 import dataclasses
 
@@ -7,26 +7,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembershipView:
-    """Members of the data centre at one moment.
+    """Balancers of the data centre, and what this balancer may decide.
 
     Parameters
     ----------
     version : int
-        Counts up on this host whenever another field changes; not comparable
-        between hosts.
+        Grows with every change of the view on this host.
     live : tuple of HostId
-        Hosts that may own flows and lead services, sorted.
+        Hosts that may own flows and lead services, sorted. A joining host
+        that has no snapshot yet is not among them.
     leaving : tuple of HostId
-        Hosts that still forward but take no new roles, sorted.
+        Hosts that still forward packets but own nothing, sorted.
     quorum : bool
-        Whether this host is in contact with a majority of the listed hosts.
+        Whether the live hosts are a quorum of the listed ones.
     fresh : bool
-        Whether the newest configuration version was confirmed to this host
-        within the activation delay.
+        Whether the newest version was confirmed within
+        `views.FRESHNESS_LIMIT` and is applied here. False while a newer
+        version is known but not applied, after a pause of the process, and
+        until a joining host has the retained views of its peers.
     """
 
     version: int
     live: tuple[identifiers.HostId, ...]
-    leaving: tuple[identifiers.HostId, ...]
-    quorum: bool
-    fresh: bool
+    leaving: tuple[identifiers.HostId, ...] = ()
+    quorum: bool = True
+    fresh: bool = True
--- a/acaciamoor/naive/__init__.py
+++ b/acaciamoor/naive/__init__.py
@@ -1,1 +1,1 @@
-"""Naive variants, used as baselines by differential tests and the bench."""
+"""Naive baselines, used by differential tests and the bench."""
