Count control messages with the size of the codec

Cause: the byte budget counted 8 bytes a flow, but the codec of the balancer takes 9, and names and authentication took more than the assumed overhead.

--- a/acaciamoor/flows/messages.py
+++ b/acaciamoor/flows/messages.py
@@ -6,10 +6,11 @@
 from acaciamoor import model
 from acaciamoor import views
 
-# Sender, key identifier, message authentication code, service and upstream
-# names, and the Cap'n Proto framing around them.
-MESSAGE_OVERHEAD_BYTES = 128
-FLOW_BYTES = 8
+# Sender, key identifier, message authentication code, names of up to 32
+# characters, and the Cap'n Proto framing around them.
+MESSAGE_OVERHEAD_BYTES = 256
+# An unsigned 64-bit number in MessagePack.
+FLOW_BYTES = 9
 NEED_BYTES = 24
 
 
--- /dev/null
+++ b/acaciamoor/flows/tests/test_messages.py
@@ -0,0 +1,32 @@
+"""Sizes that the byte budget counts."""
+
+import unittest
+
+from acaciamoor import flows
+from acaciamoor import views
+from acaciamoor import wire
+import acaciamoor.balancer.core.compact as compact
+
+NAME = 'n' * 32
+# Key identifier and authentication code around every message.
+AUTHENTICATION_BYTES = 32
+
+
+class EncodedBytesTest(unittest.TestCase):
+    def test_counted_size_is_an_upper_bound(self):
+        """Guards against a budget that a change of the codec exceeds."""
+        flow = 2**64 - 1
+        need = flows.ViewNeed(2**32 - 1, views.ViewVersion(2**40, 2**40))
+        for message in (
+            flows.PutRecords(NAME, 2**32 - 1, NAME, (flow,) * 120, True),
+            flows.PutRecords(NAME, 1, NAME, (flow,)),
+            flows.ViewNeeds(()),
+            flows.ViewNeeds((need,) * 40),
+        ):
+            document = wire.Document(
+                type(message).__name__, compact.pack(message)
+            )
+            data = wire.encode_peer(wire.PeerMessage(NAME, document))
+            self.assertLessEqual(
+                len(data) + AUTHENTICATION_BYTES, message.encoded_bytes
+            )
