--- a/acaciamoor/load/catalogue.py
+++ b/acaciamoor/load/catalogue.py
@@ -1,14 +1,18 @@
 """All scenarios of the load tool."""
 
 from acaciamoor.load import scenarios
+from acaciamoor.load.scenarios import configuration
 from acaciamoor.load.scenarios import flows
+from acaciamoor.load.scenarios import membership
 from acaciamoor.load.scenarios import placement
 from acaciamoor.load.scenarios import throughput
 
+_MODULES = (flows, placement, membership, configuration, throughput)
+
 
 def registry() -> scenarios.ScenarioRegistry:
     """Return every scenario in the order of the bench."""
     result = scenarios.ScenarioRegistry()
-    for module in (flows, placement, throughput):
+    for module in _MODULES:
         module.register(result)
     return result
