--- a/acaciamoor/platform/__init__.py
+++ b/acaciamoor/platform/__init__.py
@@ -17,6 +17,7 @@
 from acaciamoor.platform.http import Timeouts
 from acaciamoor.platform.objects import Change
 from acaciamoor.platform.objects import EventType
+from acaciamoor.platform.objects import FieldSelector
 from acaciamoor.platform.objects import Listing
 from acaciamoor.platform.objects import ObjectStore
 from acaciamoor.platform.objects import StoredObject
@@ -32,6 +33,7 @@
     'Change',
     'Conflict',
     'EventType',
+    'FieldSelector',
     'Host',
     'HostList',
     'HostState',
