--- a/acaciamoor/balancer/core/control.py
+++ b/acaciamoor/balancer/core/control.py
@@ -63,7 +63,12 @@
         self.link = link
         self.work: works.WorkPath | None = None
         self.members: model.MembershipView | None = None
+        # Stays set when the quorum is lost, since the host then still passes
+        # packets on, and serves again after 30 s.
+        self.joined = False
+        self.hosts: tuple[events.Host, ...] = ()
         self._host_id = host_id
+        self._rng = rng
         self._data_centre = data_centre
         self._source: model.MembershipView | None = None
         self._upstreams_by_address: dict[
@@ -79,6 +84,7 @@
 
     def on_hosts(self, listed: tuple[events.Host, ...]) -> None:
         """Take in the platform's list of hosts."""
+        self.hosts = listed
         own = [
             host for host in listed if host.data_centre == self._data_centre
         ]
@@ -104,6 +110,7 @@
         """Learn everything again before routing by default."""
         self.store.on_pause()
         self.learner.restart()
+        self.joined = False
 
     def on_health(
         self, key: leaders.ShardKey, change: placement.HealthChanged
@@ -138,6 +145,7 @@
         done += self._apply_members(view)
         done += self.learner.tick(self.members)
         done += self._publish()
+        done += self._ask_for_hosts()
         return done + self._relay(view)
 
     def upstream_at(
@@ -146,6 +154,11 @@
         """Return the service and upstream that last used an address."""
         return self._upstreams_by_address.get(address)
 
+    def name_of(self, service_id: model.ServiceId) -> str:
+        """Return the name of a service, or its number if it is unknown."""
+        service = self.store.services_by_id.get(service_id)
+        return str(service_id) if service is None else service.name
+
     def is_misaddressed(self, service: int, address: model.Address) -> bool:
         """Return whether `address` is not the one of a known service."""
         known = self._address_by_service.get(service)
@@ -216,6 +229,7 @@
         )
         self._source = view
         self.members = dataclasses.replace(view, fresh=fresh)
+        self.joined = self.joined or (fresh and view.quorum)
         self.router.set_members(self.members)
         if not hosts_changed:
             return []
@@ -226,6 +240,14 @@
         )
         return [note, *self.work.set_members(self.members)]
 
+    def _ask_for_hosts(self) -> Effects:
+        # Without the list there is no quorum. A peer that probes this host
+        # during an outage of the platform has one.
+        known = self.link.known_hosts
+        if self.hosts or not known:
+            return []
+        return self.link.send(self._rng.choice(known), messages.HostsRequest())
+
     def _publish(self) -> Effects:
         done: Effects = []
         for message in self.router.tick():
--- a/acaciamoor/balancer/core/core.py
+++ b/acaciamoor/balancer/core/core.py
@@ -35,7 +35,7 @@
     settings : CoreSettings
         Who this balancer is.
     clock : Clock
-        Source of time; its monotonic time must include stopped time.
+        Its monotonic time must include stopped time.
     rng : random.Random
         Source of random choices.
     keyring : Keyring
@@ -64,7 +64,10 @@
         )
         self.control.connect(self.work)
         self._streams = stream_paths.StreamPath(
-            self.control.router, self._link, self.counters
+            self.control.router,
+            self._link,
+            self.counters,
+            self.control.name_of,
         )
         self._pauses = pauses.PauseDetector(clock)
         self.departure = leaving.Departure(
@@ -81,10 +84,9 @@
         """Return whether datagrams should be sent here."""
         if self.departure.leaving:
             return core_settings.State.LEAVING
-        members = self.control.members
-        if members is None or not members.fresh:
-            return core_settings.State.JOINING
-        return core_settings.State.SERVING
+        if self.control.joined:
+            return core_settings.State.SERVING
+        return core_settings.State.JOINING
 
     def handle(
         self, event: events.Event
@@ -92,14 +94,14 @@
         """Return what to do about `event`, to be carried out in order.
 
         For datagrams from callers the effects are made while the result is
-        read, so it must be read to its end before the next call.
+        read, so that each datagram is sent before the next is decoded. The
+        result must be read to its end before the next call.
         """
         return _HANDLERS_BY_TYPE[type(event)](self, event)
 
     def _on_callers(
         self, event: events.CallerDatagrams
     ) -> collections.abc.Iterator[effects.Effect]:
-        # Yields, so that each datagram is sent before the next is decoded.
         self._from_callers[0] += len(event.batch)
         split, read = wire.split_proxy, wire.read_preamble
         is_misaddressed = self.control.is_misaddressed
@@ -182,7 +184,7 @@
             return self._malformed(events.Channel.PEER)
 
     def _on_forward(self, body: wire.Forward) -> Effects:
-        origin = _ORIGINS_BY_PURPOSE.get(body.purpose)
+        origin = requests.ORIGINS_BY_PURPOSE.get(body.purpose)
         if origin is not None:
             datagram = requests.RequestDatagram.decode(body.datagram)
             return self.work.on_peer_request(datagram, origin, body.held)
@@ -276,10 +278,6 @@
         return []
 
 
-_ORIGINS_BY_PURPOSE = {
-    wire.ForwardPurpose.COVERAGE: placement.Origin.PEER,
-    wire.ForwardPurpose.HAND_OVER: placement.Origin.HAND_OVER,
-}
 _HANDLERS_BY_TYPE: dict[
     type,
     collections.abc.Callable[
--- a/acaciamoor/balancer/core/gauges.py
+++ b/acaciamoor/balancer/core/gauges.py
@@ -65,7 +65,7 @@
 
 def _ejected(core: Readable) -> Values:
     return {
-        str(service_id): float(count)
+        core.control.name_of(service_id): float(count)
         for service_id, count in core.control.board.ejected().items()
     }
 
--- a/acaciamoor/balancer/core/inbox.py
+++ b/acaciamoor/balancer/core/inbox.py
@@ -4,6 +4,7 @@
 import typing
 
 from acaciamoor.balancer.core import effects
+from acaciamoor.balancer.core import events
 from acaciamoor.balancer.core import health
 from acaciamoor.balancer.core import joining
 from acaciamoor.balancer.core import messages
@@ -22,6 +23,7 @@
     """What messages need of the control plane."""
 
     board: health.HealthBoard
+    hosts: tuple[events.Host, ...]
     learner: joining.ViewLearner
     link: peers.PeerLink
     router: flows.FlowRouter
@@ -39,6 +41,9 @@
     ) -> Effects:
         """Publish a judgement."""
 
+    def on_hosts(self, listed: tuple[events.Host, ...]) -> None:
+        """Take in the platform's list of hosts."""
+
     def send_all(self, sends: list[configuration.Send]) -> Effects:
         """Return the effects of messages that the core wants to send."""
 
@@ -122,3 +127,21 @@
         if path.board.adopt(update):
             path.apply_health(message.service_id)
     return []
+
+
+@receive.register
+def _(
+    message: messages.HostsRequest, path: Control, sender: model.HostId
+) -> Effects:
+    if not path.hosts:
+        return []
+    return path.link.send(sender, messages.HostsReply(path.hosts))
+
+
+@receive.register
+def _(
+    message: messages.HostsReply, path: Control, sender: model.HostId
+) -> Effects:
+    if not path.hosts:
+        path.on_hosts(message.hosts)
+    return []
--- a/acaciamoor/balancer/core/messages.py
+++ b/acaciamoor/balancer/core/messages.py
@@ -3,11 +3,12 @@
 import dataclasses
 import datetime
 
-from acaciamoor import configuration
-from acaciamoor import flows
-from acaciamoor import membership
-from acaciamoor import model
-from acaciamoor import views
+from acaciamoor.balancer.core import events
+import acaciamoor.configuration as configuration
+import acaciamoor.flows as flows
+import acaciamoor.membership as membership
+import acaciamoor.model as model
+import acaciamoor.views as views
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +69,18 @@
     views: tuple[AgedView, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostsRequest:
+    """Asks for the host list, which a host lacks that starts in an outage."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostsReply:
+    """The platform's host list as the sender last read it."""
+
+    hosts: tuple[events.Host, ...]
+
+
 TYPES_BY_NAME = {
     cls.__name__: cls
     for cls in (
@@ -83,5 +96,7 @@
         HealthReport,
         ViewsRequest,
         RetainedViews,
+        HostsRequest,
+        HostsReply,
     )
 }
--- a/acaciamoor/balancer/core/peers.py
+++ b/acaciamoor/balancer/core/peers.py
@@ -52,6 +52,11 @@
             self._listed.add(host_id)
             self._addresses_by_host[host_id] = address.as_tuple()
 
+    @property
+    def known_hosts(self) -> tuple[model.HostId, ...]:
+        """Hosts with a known address, sorted."""
+        return tuple(sorted(self._addresses_by_host))
+
     def forward(
         self, host_id: model.HostId, body: wire.Forward
     ) -> list[effects.Effect]:
--- a/acaciamoor/balancer/core/requests.py
+++ b/acaciamoor/balancer/core/requests.py
@@ -9,6 +9,10 @@
 from acaciamoor import wire
 
 SocketAddress = tuple[str, int]
+ORIGINS_BY_PURPOSE = {
+    wire.ForwardPurpose.COVERAGE: placement.Origin.PEER,
+    wire.ForwardPurpose.HAND_OVER: placement.Origin.HAND_OVER,
+}
 
 
 class CallerReference(typing.NamedTuple):
--- a/acaciamoor/balancer/core/streams.py
+++ b/acaciamoor/balancer/core/streams.py
@@ -35,6 +35,8 @@
         Makes messages to other balancers.
     counters : Counters
         Counts what happens.
+    name_of : callable
+        Gives the names of services.
     """
 
     def __init__(
@@ -42,10 +44,12 @@
         router: flows.FlowRouter,
         link: peers.PeerLink,
         counters: counts.Counters,
+        name_of: collections.abc.Callable[[model.ServiceId], str],
     ) -> None:
         self._route = router.route
         self._link = link
         self._counters = counters
+        self._name_of = name_of
         lookup = counts.Metric.LOOKUPS
         self._direct = counters.cell(lookup, 'direct')
         self._resolved = counters.cell(lookup, 'resolved-for-peer')
@@ -79,7 +83,9 @@
             cell = self._direct if hop is None else self._resolved
             cell[0] += 1
             if kind is _OPEN:
-                self._counters.add(counts.Metric.STREAMS_OPENED, str(service))
+                self._counters.add(
+                    counts.Metric.STREAMS_OPENED, self._name_of(service)
+                )
             address = decision.upstream.address
             target = (address.ip, address.port)
             return (_new(_SendUpstream, (target, data)),)
--- a/acaciamoor/balancer/tests/test_compact.py
+++ b/acaciamoor/balancer/tests/test_compact.py
@@ -5,10 +5,12 @@
 import unittest
 
 from acaciamoor.balancer.core import compact
+from acaciamoor.balancer.core import events
 from acaciamoor.balancer.core import messages
 import acaciamoor.configuration as configuration
 import acaciamoor.flows as flows
 import acaciamoor.membership as membership
+import acaciamoor.model as model
 import acaciamoor.model.tests.builders as model_builders
 import acaciamoor.views as views
 
@@ -18,6 +20,7 @@
     'kgn-a-1', 2**63, membership.Phase.ACTIVE, membership.Health.SUSPECT
 )
 DIGEST = configuration.ConfigurationDigest(7, 2**64 - 1, AGE, None, 6, True)
+HOST = events.Host('kgn-a-1', 'kgn-a', model.Address('::1', 9), True)
 EVIDENCE = membership.Evidence(2**64 - 1, b'\x00\xff', b'abcd')
 CHANGE = configuration.ServiceVersion(1, 1, SERVICE, AGE)
 DELETION = configuration.ServiceVersion(2, 3, None, AGE)
@@ -36,6 +39,8 @@
     messages.HealthUpdate(1, 65537, ('desk-1',), (), AGE),
     messages.HealthReport(1, 'desk-1', healthy=False, dead=True),
     messages.ViewsRequest(1),
+    messages.HostsRequest(),
+    messages.HostsReply((HOST,)),
     messages.RetainedViews(1, (messages.AgedView(VIEW, AGE),)),
 )
 
--- a/acaciamoor/balancer/tests/test_processes.py
+++ b/acaciamoor/balancer/tests/test_processes.py
@@ -11,10 +11,10 @@
 
 import aiohttp
 
-from acaciamoor import hashing
 from acaciamoor.demo import fleet as fleets
 from acaciamoor.demo import launcher as launchers
 from acaciamoor.demo import site as sites
+import acaciamoor.hashing as hashing
 
 SERVICE = 'order-desk'
 # Only bounds a hanging test.
--- a/acaciamoor/demo/fleet.py
+++ b/acaciamoor/demo/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import datetime
 import json
 import pathlib
@@ -88,24 +89,17 @@
                     documents.SERVICE_KIND, name, documents.value_of(document)
                 )
 
-    async def drain(
-        self, service_name: str, upstream_id: model.UpstreamId
-    ) -> None:
-        """Drain an upstream at the platform, without the operators' API."""
-        kind = documents.SERVICE_KIND
+    async def read_services(self) -> None:
+        """Take over the services with the numbers that they were given."""
+        services_by_name = {}
         async with self.store() as store:
-            stored = await store.get(kind, service_name)
-            document = documents.parse_service(service_name, stored.value)
-            service = document.to_service(stored.version)
-            drained = documents.ServiceDocument.of(
-                service.drain_upstream(upstream_id)
-            )
-            await store.update(
-                kind,
-                service_name,
-                documents.value_of(drained),
-                stored.version,
-            )
+            for name in self.site.services_by_name:
+                stored = await store.get(documents.SERVICE_KIND, name)
+                document = documents.parse_service(name, stored.value)
+                services_by_name[name] = document.to_service(stored.version)
+        self.site = dataclasses.replace(
+            self.site, services_by_name=services_by_name
+        )
 
     @contextlib.asynccontextmanager
     async def store(
--- a/acaciamoor/demo/run.py
+++ b/acaciamoor/demo/run.py
@@ -13,6 +13,7 @@
 from acaciamoor import clock as clocks
 from acaciamoor.demo import fleet as fleets
 from acaciamoor.demo import launcher as launchers
+from acaciamoor.demo import operators
 from acaciamoor.demo import scraper as scrapers
 from acaciamoor.demo import site as sites
 from acaciamoor.demo import table
@@ -100,6 +101,7 @@
         self._random = random.Random(settings.seed)
         site = sites.new_site(settings.balancers, UPSTREAMS_BY_SERVICE)
         self._fleet = fleets.Fleet(site, launcher, settings.directory)
+        self._operators = operators.Operators(site, launcher)
 
     async def run(self) -> DemoResult:
         """Start the site, inject the faults and check the promises."""
@@ -123,9 +125,14 @@
         return DemoResult(seen_by_service, late_runs, self._launcher.failed())
 
     async def _start(self) -> None:
-        print('starting platform, upstreams, balancers and fabric')
+        print(
+            "starting platform, operators' API, upstreams, balancers, fabric"
+        )
         await self._fleet.start_platform()
-        await self._fleet.create_services()
+        self._operators.start()
+        for service in self._fleet.site.services_by_name.values():
+            print(await self._operators.create(service))
+        await self._fleet.read_services()
         for service in self._fleet.site.services_by_name.values():
             self._fleet.start_upstreams(
                 service, '--cold-start', '1', '--push-interval', '1'
@@ -148,7 +155,7 @@
 
     async def _drain(self) -> None:
         print(f'draining {DRAINED_UPSTREAM} of {DRAINED_SERVICE}')
-        await self._fleet.drain(DRAINED_SERVICE, DRAINED_UPSTREAM)
+        print(await self._operators.drain(DRAINED_SERVICE, DRAINED_UPSTREAM))
 
     def _kill(self) -> model.HostId:
         host = self._random.choice(sorted(self._fleet.site.balancers_by_host))
--- a/acaciamoor/standins/caller/streams.py
+++ b/acaciamoor/standins/caller/streams.py
@@ -133,5 +133,8 @@
             result = _RESULT.decode(reply.payload)
             if reply.kind is kind and result.token == token:
                 return reply
+            # An answer to an earlier OPEN shows as well that it is open.
+            if reply.kind is kind is wire.EnvelopeKind.OPEN:
+                return reply
             if self._upstream and result.upstream != self._upstream:
                 return dataclasses.replace(reply, kind=kind)
