--- a/acaciamoor/load/scenarios/placement_world.py
+++ b/acaciamoor/load/scenarios/placement_world.py
@@ -146,6 +146,7 @@
             _LINK,
             lambda: self.oracle.replied(
                 reply.work.caller,
+                reply.work.attempt,
                 reply.outcome,
                 reply.reason,
                 reply.payload,
--- a/acaciamoor/placement/admission.py
+++ b/acaciamoor/placement/admission.py
@@ -115,7 +115,9 @@
     ) -> float:
         ahead = self._queue.count(item.lane)
         if item.lane is _Lane.LONG:
-            servers = min(slots, self._long_cap(policy, slots))
+            # While short work waits, long work gets a single slot.
+            short_waits = self._queue.count(_Lane.SHORT) > 0
+            servers = 1 if short_waits else self._long_cap(policy, slots)
         else:
             servers = max(1, slots - self._long_work.announced)
         if not ahead and self._pool.has_free(now):
