--- a/acaciamoor/placement/tests/builders.py
+++ b/acaciamoor/placement/tests/builders.py
@@ -125,3 +125,11 @@
         for reply in of_type(effects, messages.Reply)
         if outcome is None or reply.outcome is outcome
     ]
+
+
+def fill(driver, slots, first=100, **fields):
+    """Bind requests to all slots and return the `Bind` effects."""
+    bound = []
+    for request in range(first, first + slots):
+        bound += binds(driver.submit(request, **fields))
+    return bound
