--- a/acaciamoor/flows/chain.py
+++ b/acaciamoor/flows/chain.py
@@ -88,22 +88,13 @@
                 agreed = flows.agreed[buckets.bucket_of(flow)]
                 if agreed >= 0 and index is None:
                     return flows.decisions[agreed]
-        first = self._first_other_unless_owner(flow)
-        if first is None:
+        owners = self.owners.owners(flow)
+        if not owners or owners[0] == self._host_id:
             return self._place(flows, flow, 0, index)
         return messages.ToPeer(
-            first, messages.Hop(messages.HopPurpose.RECORD, 0)
+            owners[0], messages.Hop(messages.HopPurpose.RECORD, 0)
         )
 
-    def _first_other_unless_owner(
-        self, flow: int
-    ) -> identifiers.HostId | None:
-        """Return the owner that an OPEN goes to; None for this host."""
-        owners = self.owners.owners(flow)
-        if not owners or owners[0] == self._host_id:
-            return None
-        return owners[0]
-
     def _place(
         self,
         flows: service_flows.ServiceFlows,
--- a/acaciamoor/load/scenarios/flow_cluster.py
+++ b/acaciamoor/load/scenarios/flow_cluster.py
@@ -2,16 +2,14 @@
 
 import collections
 import collections.abc
-import dataclasses
 import datetime
-import typing
 
-from acaciamoor import clock as clocks
 from acaciamoor import flows
 from acaciamoor import harness
 from acaciamoor import model
 from acaciamoor import views
 from acaciamoor import wire
+from acaciamoor.load.scenarios import flow_types
 
 _TICK = datetime.timedelta(milliseconds=250)
 _OPEN_RETRY = datetime.timedelta(milliseconds=500)
@@ -28,74 +26,6 @@
 )
 
 
-class Router(typing.Protocol):
-    """What the cluster needs of a router; see `flows.FlowRouter`."""
-
-    def set_members(self, members: model.MembershipView) -> None: ...
-
-    def apply_view(
-        self, view: views.ServiceView, age: datetime.timedelta
-    ) -> bool: ...
-
-    def retained_views(
-        self,
-    ) -> tuple[tuple[views.ServiceView, datetime.timedelta], ...]: ...
-
-    def route(
-        self,
-        service_id: model.ServiceId,
-        flow: int,
-        kind: wire.EnvelopeKind,
-        hop: flows.Hop | None = None,
-    ) -> flows.Decision: ...
-
-    def receive_records(self, message: flows.PutRecords) -> None: ...
-
-    def receive_needs(
-        self, sender: model.HostId, message: flows.ViewNeeds
-    ) -> None: ...
-
-    def tick(self) -> collections.abc.Sequence[flows.Message]: ...
-
-
-MakeRouter = collections.abc.Callable[[model.HostId, clocks.Clock], Router]
-
-
-@dataclasses.dataclass(slots=True)
-class CallerFlow:
-    """A stream as its caller and the oracle see it."""
-
-    service_id: model.ServiceId
-    flow: int
-    opened: datetime.timedelta
-    upstream_id: model.UpstreamId | None = None
-    delivered: datetime.timedelta | None = None
-    broken: bool = False
-    closed: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Packet:
-    flow: CallerFlow
-    kind: wire.EnvelopeKind
-    hop: flows.Hop | None = None
-    hops: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class _Host:
-    router: Router
-    active: datetime.timedelta
-    fresh: bool = True
-    relearning: bool = False
-    version: int = 0
-    control_sent: int = 0
-    control_received: int = 0
-    applied: set[tuple[model.ServiceId, views.ViewVersion]] = (
-        dataclasses.field(default_factory=set)
-    )
-
-
 class FlowCluster:
     """Balancers of one data centre under faults.
 
@@ -119,7 +49,7 @@
 
     def __init__(
         self,
-        make_router: MakeRouter,
+        make_router: flow_types.MakeRouter,
         seed: int,
         balancers: int,
         link: harness.LinkSettings | None = None,
@@ -127,7 +57,7 @@
     ) -> None:
         self.network = harness.VirtualNetwork(seed, link)
         self.random = self.network.random
-        self.flows: list[CallerFlow] = []
+        self.flows: list[flow_types.CallerFlow] = []
         self.hops: collections.Counter[int] = collections.Counter()
         self.refusals: collections.Counter[flows.RefusalReason] = (
             collections.Counter()
@@ -135,7 +65,7 @@
         self.wrong_service = 0
         self.leaving: set[model.HostId] = set()
         self.frozen: set[model.HostId] = set()
-        self.hosts: dict[model.HostId, _Host] = {}
+        self.hosts: dict[model.HostId, flow_types.Host] = {}
         self.dead_upstreams: set[model.UpstreamId] = set()
         self._make_router = make_router
         self._echo_token = echo_token
@@ -243,14 +173,18 @@
             self.frozen.discard(host_id)
             self.network.resume(host_id)
 
-    def open_flow(self, service_id: model.ServiceId) -> CallerFlow:
+    def open_flow(self, service_id: model.ServiceId) -> flow_types.CallerFlow:
         """Start a stream; its caller repeats OPEN until it is delivered."""
-        flow = CallerFlow(service_id, self.random.getrandbits(64), self.now)
+        flow = flow_types.CallerFlow(
+            service_id, self.random.getrandbits(64), self.now
+        )
         self.flows.append(flow)
         self._send_open(flow)
         return flow
 
-    def send(self, flow: CallerFlow, kind: wire.EnvelopeKind) -> None:
+    def send(
+        self, flow: flow_types.CallerFlow, kind: wire.EnvelopeKind
+    ) -> None:
         """Send a packet of a stream through a random balancer."""
         if flow.delivered is None or flow.closed:
             return
@@ -288,18 +222,20 @@
             for host in self.hosts.values()
         )
 
-    def _send_open(self, flow: CallerFlow) -> None:
+    def _send_open(self, flow: flow_types.CallerFlow) -> None:
         if flow.delivered is None:
             self._spray(flow, wire.EnvelopeKind.OPEN)
         if flow.delivered is None:
             self.network.call_later(_OPEN_RETRY, lambda: self._send_open(flow))
 
-    def _spray(self, flow: CallerFlow, kind: wire.EnvelopeKind) -> None:
+    def _spray(
+        self, flow: flow_types.CallerFlow, kind: wire.EnvelopeKind
+    ) -> None:
         host_id = self.random.choice(self._fabric)
         hop = None
         if self._echo_token and flow.upstream_id is not None:
             hop = flows.Hop(flows.HopPurpose.RESOLVE, 0, flow.upstream_id)
-        packet = _Packet(flow, kind, hop)
+        packet = flow_types.Packet(flow, kind, hop)
         if host_id in self.frozen:
             self.network.call_later(
                 _ZERO, lambda: self._handle(host_id, packet), host=host_id
@@ -307,7 +243,9 @@
         elif host_id in self.hosts:
             self._handle(host_id, packet)
 
-    def _handle(self, host_id: model.HostId, packet: _Packet) -> None:
+    def _handle(
+        self, host_id: model.HostId, packet: flow_types.Packet
+    ) -> None:
         host = self.hosts[host_id]
         if self._was_paused(host_id, host):
             return
@@ -319,7 +257,9 @@
             self.network.send(
                 host_id,
                 decision.host_id,
-                _Packet(flow, packet.kind, decision.hop, packet.hops + 1),
+                flow_types.Packet(
+                    flow, packet.kind, decision.hop, packet.hops + 1
+                ),
             )
         elif isinstance(decision, flows.ToUpstream):
             self.hops[packet.hops] += 1
@@ -331,7 +271,9 @@
             ):
                 flow.broken = True
 
-    def _deliver(self, flow: CallerFlow, upstream: model.Upstream) -> None:
+    def _deliver(
+        self, flow: flow_types.CallerFlow, upstream: model.Upstream
+    ) -> None:
         if upstream.upstream_id not in self._allowed[flow.service_id]:
             self.wrong_service += 1
         if flow.upstream_id is None:
@@ -343,7 +285,7 @@
     def _receive(
         self, host_id: model.HostId, sender: str, message: object
     ) -> None:
-        if isinstance(message, _Packet):
+        if isinstance(message, flow_types.Packet):
             self._handle(host_id, message)
             return
         host = self.hosts[host_id]
@@ -355,7 +297,9 @@
         elif isinstance(message, flows.ViewNeeds):
             host.router.receive_needs(model.HostId(sender), message)
 
-    def _was_paused(self, host_id: model.HostId, host: _Host) -> bool:
+    def _was_paused(
+        self, host_id: model.HostId, host: flow_types.Host
+    ) -> bool:
         """Drop what waited while the host was paused, and learn again."""
         gap = self.now - host.active
         if gap > _PAUSE:
@@ -383,7 +327,7 @@
 
     def _start(self, host_id: model.HostId) -> None:
         router = self._make_router(host_id, self.network.clock)
-        self.hosts[host_id] = _Host(router, self.now)
+        self.hosts[host_id] = flow_types.Host(router, self.now)
         self._listed.add(host_id)
         self.network.add_host(
             host_id,
@@ -448,7 +392,7 @@
             host.fresh = False
             self._learn_members(host_id)
 
-    def _knows_all(self, host: _Host) -> bool:
+    def _knows_all(self, host: flow_types.Host) -> bool:
         """Return whether a host has every view that it must have heard of."""
         return all(
             (view.service_id, view.version) in host.applied
--- a/acaciamoor/load/scenarios/flow_contenders.py
+++ b/acaciamoor/load/scenarios/flow_contenders.py
@@ -10,6 +10,7 @@
 from acaciamoor.harness import network as networks
 from acaciamoor.load import measurement
 from acaciamoor.load.scenarios import flow_cluster
+from acaciamoor.load.scenarios import flow_types
 from acaciamoor.load.scenarios import registry
 from acaciamoor.model import address as addresses
 from acaciamoor.model import identifiers
@@ -53,7 +54,7 @@
 
     name: str
     variant: measurement.Variant
-    make_router: flow_cluster.MakeRouter
+    make_router: flow_types.MakeRouter
     echo_token: bool = False
 
 
@@ -208,7 +209,7 @@
             lambda: self._keep(flow),
         )
 
-    def _keep(self, flow: flow_cluster.CallerFlow) -> None:
+    def _keep(self, flow: flow_types.CallerFlow) -> None:
         self.cluster.send(flow, envelopes.EnvelopeKind.KEEPALIVE)
         pause = self.cluster.random.random() * _KEEPALIVE_SPREAD
         self.cluster.network.call_later(
