Check three rules whose removal no test noticed

Each rule was switched off in a scratch copy. They did not notice answers dated by arrival, suspicion without a quorum, and a missing check for pauses. With the added checks they do.

--- a/acaciamoor/membership/tests/test_detection.py
+++ b/acaciamoor/membership/tests/test_detection.py
@@ -60,6 +60,7 @@
         self.assertEqual({deaf}, removals(fleet, 4))
         self.assertFalse(fleet.nodes_by_id[deaf].table.holds_lease())
         self.assertTrue(fleet.nodes_by_id[other].table.holds_lease())
+        self.assertIsNone(fleet.nodes_by_id[other].table.doubted_since)
 
     def test_mute_host_learns_that_it_is_doubted(self):
         """Guards against coverage claims of a host that others replaced."""
@@ -181,11 +182,21 @@
         table, probe = builders.lone_table(clock)
         clock.advance(1.4 * SECOND)
         table.on_message('b', builders.answer(probe, 'b'))
+        table.tick()
         self.assertTrue(table.view().quorum)
         clock.advance(0.2 * SECOND)
         self.assertFalse(table.view().quorum)
         self.assertFalse(table.holds_lease())
 
+    def test_pause_is_detected_before_anyone_tells(self):
+        """Guards against coverage claims of a process that was stopped."""
+        clock = clocks.ManualClock()
+        table, _ = builders.lone_table(clock)
+        self.assertIsNone(table.doubted_since)
+        clock.advance(1.6 * SECOND)
+        self.assertEqual(clock.monotonic(), table.doubted_since)
+        self.assertFalse(table.holds_lease())
+
     def test_doubted_host_counts_no_earlier_evidence(self):
         """Guards against a lease from hosts that hold a doubt by now."""
         clock = clocks.ManualClock()
