Accept the backlog of a takeover

While a placer settles it queues about 1 s of work.

The limit is longer by the settle time without a lease, during the settle time and for twice that time after it.

--- a/acaciamoor/placement/admission.py
+++ b/acaciamoor/placement/admission.py
@@ -63,7 +63,7 @@
             seconds=self._queueing_seconds(item, policy, slots, now)
         )
         wait = max(item.not_before, self._settled_at(now)) - now + queueing
-        if item.lane is _Lane.SHORT and queueing > LONGEST_SHORT_WAIT:
+        if item.lane is _Lane.SHORT and queueing > self._longest_wait(now):
             return works.Reason.QUEUE_FULL
         if wait > left * WAIT_SHARE or self.is_late(item, now + wait):
             return works.Reason.DEADLINE
@@ -103,6 +103,14 @@
             self._queue.count(lane) >= policy.queue_limit * LONG_QUEUE_SHARE
         )
 
+    def _longest_wait(self, now: datetime.timedelta) -> datetime.timedelta:
+        # What arrives while nothing is bound is no sign of a peak of demand,
+        # and it takes about as long again to work it off.
+        settling = now < self._tenure.settled_at + 2 * tenures.SETTLE
+        if settling or not self._tenure.holds:
+            return LONGEST_SHORT_WAIT + tenures.SETTLE
+        return LONGEST_SHORT_WAIT
+
     def _settled_at(self, now: datetime.timedelta) -> datetime.timedelta:
         return max(now, self._tenure.settled_at)
 
--- a/acaciamoor/placement/tests/test_tenure.py
+++ b/acaciamoor/placement/tests/test_tenure.py
@@ -22,6 +22,17 @@
         self.assertEqual([], driver.advance(990 * MILLISECOND))
         self.assertEqual(1, len(driver.advance(20 * MILLISECOND)))
 
+    def test_backlog_of_the_settle_time_is_not_refused(self):
+        """Guards against a takeover that refuses work as if at a peak."""
+        driver = builders.Driver()
+        driver.serve(1, 30)
+        driver.take(driver.placer.set_lease(holds=False))
+        driver.take(driver.placer.set_lease(holds=True))
+        effects = []
+        for request in range(100, 200):
+            effects += driver.submit(request)
+        self.assertEqual([], effects)
+
     def test_work_that_came_without_lease_never_runs(self):
         """Guards against an order that the other side of a cut has run."""
         driver = builders.Driver()
