--- a/acaciamoor/balancer/tests/test_core.py
+++ b/acaciamoor/balancer/tests/test_core.py
@@ -1,6 +1,8 @@
 """Balancer cores together on a virtual network."""
 
+import collections
 import dataclasses
+import datetime
 import random
 import unittest
 
@@ -140,6 +142,21 @@
         for flow in busy:
             self.assertLessEqual(len(self.fleet.ports_reached(flow)), 1)
 
+    def test_leaving_placer_causes_no_refusal_below_capacity(self):
+        """Guards against planned changes that callers notice as refusals."""
+        self.fleet.run_time = datetime.timedelta(milliseconds=40)
+        for number in range(1200):
+            if number == 400:
+                self.fleet.post(self.placer(), cores.LeaveRequested())
+            self.spray(KIND.REQUEST, 5000 + number, request=1)
+            self.fleet.run(0.005)
+        self.fleet.run(5)
+        kinds = collections.Counter(
+            (envelope.kind.name, envelope.reason)
+            for envelope in self.fleet.to_callers
+        )
+        self.assertEqual({('ANSWER', ''): 1200}, dict(kinds))
+
     def test_bad_datagrams_are_counted_and_dropped(self):
         """Guards against a crash or a forgery on any of the sockets."""
         host = self.host()
