Follow the receiver's own chain when a record is looked up

Cause: a RESOLVE hop carried a position in the sender's chain of owners. While members differ, the position means another host in the receiver's chain. A host that restarted and knew only one peer sent position 1 to it; the peer then skipped both owners and resolved by the oldest view.

Change: the hop carries the hosts that had no record, at most four, and every host goes on with its own chain. The new focused test fails before the change.

--- a/acaciamoor/balancer/core/streams.py
+++ b/acaciamoor/balancer/core/streams.py
@@ -103,6 +103,7 @@
             _HOPS_BY_PURPOSE[body.purpose],
             body.position,
             upstream_id or None,
+            tuple(map(model.HostId, body.visited)),
         )
         return self.on_packet(preamble, caller, body.datagram, hop)
 
@@ -117,6 +118,7 @@
                 data,
                 position=hop.position,
                 upstream_id=hop.upstream_id or '',
+                visited=hop.visited,
             ),
         )
 
--- a/acaciamoor/balancer/tests/test_processes.py
+++ b/acaciamoor/balancer/tests/test_processes.py
@@ -120,9 +120,7 @@
         await asyncio.sleep(1)
         seen = await self.end_callers(caller)
         self.assertEqual(0, seen['unanswered'])
-        # Refusals of new work by the next placer are the subject of
-        # test_core.FaultTest, where virtual time makes them repeatable.
-        self.assertLessEqual(set(seen['not run']), {'queue-full'})
+        self.assertEqual({}, seen['not run'])
 
     async def test_keys_are_rotated_while_serving(self):
         """Guards against a key rotation that splits the balancers."""
--- a/acaciamoor/flows/chain.py
+++ b/acaciamoor/flows/chain.py
@@ -16,9 +16,12 @@
 _CORRECTION = 2
 # Hosts that may pass on an OPEN because they cannot choose for it.
 _MAX_PLACER_POSITION = 2
+# Hosts that one packet asks for a record at most. The chains of two hosts may
+# differ while their members do, so a packet may ask more than one chain.
+_MAX_VISITED = 4
 # Position of a packet with `HopPurpose.RESOLVE` that went through the whole
 # chain to a host that may not decide, and returned to the first owner.
-_RETURNED = 3
+_RETURNED = 8
 _OWNERS = 2
 
 _NO_UPSTREAM = messages.Refuse(messages.RefusalReason.NO_UPSTREAM)
@@ -189,23 +192,40 @@
         hop: messages.Hop | None,
     ) -> messages.Decision:
         """Ask the next host of the chain, or decide at its end."""
-        chain = self.owners.chain(flow)
-        start = 0 if hop is None else hop.position + 1
-        end = len(chain) if self._is_handing_over() else _OWNERS
-        for position in range(start, min(end, len(chain))):
-            if chain[position] != self._host_id:
-                return messages.ToPeer(
-                    chain[position],
-                    messages.Hop(messages.HopPurpose.RESOLVE, position),
-                )
+        visited = () if hop is None else hop.visited
+        if len(visited) < _MAX_VISITED:
+            for host_id in self._candidates(flow):
+                if host_id not in visited:
+                    return self._ask(host_id, len(visited), visited)
         if self.distrust is None:
             return self._resolve_by_base(flows, flow, kind)
-        if start <= _RETURNED and chain and chain[0] != self._host_id:
-            return messages.ToPeer(
-                chain[0],
-                messages.Hop(messages.HopPurpose.RESOLVE, _RETURNED),
-            )
-        return self.distrust
+        first = next(iter(self.owners.owners(flow)), self._host_id)
+        returned = hop is not None and hop.position == _RETURNED
+        if returned or first == self._host_id:
+            return self.distrust
+        return self._ask(first, _RETURNED, visited)
+
+    def _candidates(self, flow: int) -> tuple[identifiers.HostId, ...]:
+        """Return the other hosts that may hold the record, best first."""
+        chain = self.owners.chain(flow)
+        if not self._is_handing_over():
+            chain = chain[:_OWNERS]
+        return tuple(host for host in chain if host != self._host_id)
+
+    def _ask(
+        self,
+        host_id: identifiers.HostId,
+        position: int,
+        visited: tuple[identifiers.HostId, ...],
+    ) -> messages.ToPeer:
+        return messages.ToPeer(
+            host_id,
+            messages.Hop(
+                messages.HopPurpose.RESOLVE,
+                position,
+                visited=(*visited, self._host_id),
+            ),
+        )
 
     def _resolve_by_base(
         self,
--- a/acaciamoor/flows/messages.py
+++ b/acaciamoor/flows/messages.py
@@ -36,11 +36,16 @@
     upstream_id : UpstreamId or None
         For `HopPurpose.RECORD`, the upstream to record; None lets the
         receiver choose it.
+    visited : tuple of HostId
+        For `HopPurpose.RESOLVE`, the hosts that had no record. The receiver
+        goes on with its own chain, because its members may differ from the
+        sender's and a position in one chain means nothing in another.
     """
 
     purpose: HopPurpose
     position: int
     upstream_id: model.UpstreamId | None = None
+    visited: tuple[model.HostId, ...] = ()
 
 
 class RefusalReason(enum.Enum):
--- a/acaciamoor/flows/tests/test_router.py
+++ b/acaciamoor/flows/tests/test_router.py
@@ -136,6 +136,17 @@
         self.assertEqual(upstream, self.team.route(pair[0], self.flow)[0])
         self.assert_everywhere(upstream)
 
+    def test_host_that_knows_no_owner_reaches_the_record(self):
+        """Guards against positions that mean another host elsewhere.
+
+        A host that restarts may know only one peer, which is not an owner.
+        """
+        upstream = self.open_moved()
+        joining, peer = self.team.owners(self.flow, ''.join(self.others))
+        self.team.learn(joining + peer, by=joining, fresh=False)
+        self.assertEqual(upstream, self.team.route(joining, self.flow)[0])
+        self.assert_everywhere(upstream)
+
     def test_owner_that_changes_while_an_open_is_on_its_way(self):
         """Guards against a record that stands only on former owners."""
         self.change()
--- a/acaciamoor/wire/peer.capnp
+++ b/acaciamoor/wire/peer.capnp
@@ -17,6 +17,7 @@
   upstreamId @3 :Text;
   datagram @4 :Data;
   heldMs @5 :UInt32;
+  visited @6 :List(Text);
 
   enum Purpose {
     record @0;
--- a/acaciamoor/wire/peer.py
+++ b/acaciamoor/wire/peer.py
@@ -48,6 +48,8 @@
         Upstream chosen by the first owner, or empty.
     held : datetime.timedelta
         Time that balancers held the datagram.
+    visited : tuple of str
+        Hosts that had no record of a stream.
     """
 
     purpose: ForwardPurpose
@@ -56,6 +58,7 @@
     hops: int = 1
     upstream_id: str = ''
     held: datetime.timedelta = datetime.timedelta(0)
+    visited: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +106,8 @@
     forward.upstreamId = body.upstream_id
     forward.datagram = body.datagram
     forward.heldMs = body.held // _MILLISECOND
+    if body.visited:
+        forward.visited = list(body.visited)
 
 
 @_fill.register
@@ -139,6 +144,7 @@
             hops=forward.hops,
             upstream_id=forward.upstreamId,
             held=forward.heldMs * _MILLISECOND,
+            visited=tuple(forward.visited),
         )
     document = message.document
     return Document(document.name, bytes(document.content))
