Export how requests end and how long short work takes

The report reads request outcomes, broken streams and the time of short work; the balancer exported only opened streams. The core now emits an effect at the end of each request, which the shell records, and the counts of a service start at 0, since the report shows an absent metric as missing data.

--- a/acaciamoor/balancer/core/__init__.py
+++ b/acaciamoor/balancer/core/__init__.py
@@ -8,6 +8,8 @@
 from acaciamoor.balancer.core.effects import HoldWatch
 from acaciamoor.balancer.core.effects import Note
 from acaciamoor.balancer.core.effects import ObserveUpstreams
+from acaciamoor.balancer.core.effects import RequestEnded
+from acaciamoor.balancer.core.effects import RequestOutcome
 from acaciamoor.balancer.core.effects import Severity
 from acaciamoor.balancer.core.effects import ToCaller
 from acaciamoor.balancer.core.effects import ToPeer
@@ -54,6 +56,8 @@
     'Note',
     'ObserveUpstreams',
     'PeerDatagram',
+    'RequestEnded',
+    'RequestOutcome',
     'ServiceChanged',
     'ServicesListed',
     'Severity',
--- a/acaciamoor/balancer/core/counters.py
+++ b/acaciamoor/balancer/core/counters.py
@@ -15,6 +15,11 @@
     )
     LOOKUPS = ('lookups', 'result', 'How packets of streams were resolved.')
     STREAMS_OPENED = ('streams_opened', 'service', 'OPEN packets forwarded.')
+    STREAMS_BROKEN = (
+        'streams_broken',
+        'service',
+        'Packets of streams that were refused for a lost upstream.',
+    )
     NEW_WORK = ('new_work', 'service', 'Requests sent to upstreams.')
     REFUSALS = ('refusals', 'reason', 'Refusals sent to callers.')
     RETRIES = ('retries', 'service', 'Requests sent again after a refusal.')
--- a/acaciamoor/balancer/core/effects.py
+++ b/acaciamoor/balancer/core/effects.py
@@ -1,6 +1,7 @@
 """Outputs of the balancer core, carried out by the shell."""
 
 import dataclasses
+import datetime
 import enum
 import logging
 import typing
@@ -84,6 +85,34 @@
     flow: int | None = None
 
 
+class RequestOutcome(enum.Enum):
+    """How a request ended for its caller."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not_run'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """Measure a request that ended.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    outcome : RequestOutcome
+        How it ended.
+    short_work_time : datetime.timedelta or None
+        Time from arrival to answer; None without an answer and for work that
+        was announced as long.
+    """
+
+    service: str
+    outcome: RequestOutcome
+    short_work_time: datetime.timedelta | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exit:
     """End the process: it has left."""
@@ -97,5 +126,6 @@
     | WriteStatus
     | ObserveUpstreams
     | Note
+    | RequestEnded
     | Exit
 )
--- a/acaciamoor/balancer/core/placer_effects.py
+++ b/acaciamoor/balancer/core/placer_effects.py
@@ -26,6 +26,9 @@
     ) -> Effects:
         """Tell a caller what is known about its request."""
 
+    def answer(self, work: placement.Work, data: bytes) -> Effects:
+        """Pass one part of an answer to its caller."""
+
     def ask(self, key: leaders.ShardKey, work: placement.Work) -> Effects:
         """Ask the likely holder of a record about a request."""
 
@@ -85,7 +88,7 @@
 ) -> Effects:
     if decision.outcome is not wire.Outcome.COMPLETE:
         return path.refuse(decision.work, decision.outcome, decision.reason)
-    return [effects.ToCaller(decision.work.caller.address, decision.payload)]
+    return path.answer(decision.work, decision.payload)
 
 
 @carry_out.register
--- a/acaciamoor/balancer/core/replies.py
+++ b/acaciamoor/balancer/core/replies.py
@@ -19,6 +19,16 @@
 # A balancer that is not the placer passes a request to the one that it
 # believes is; after two such hops the caller's retransmission is waited for.
 MAX_HOPS = 2
+_ENDS_BY_OUTCOME = {
+    wire.Outcome.NOT_RUN: effects.RequestOutcome.NOT_RUN,
+    wire.Outcome.OUTCOME_UNKNOWN: effects.RequestOutcome.OUTCOME_UNKNOWN,
+}
+# The report shows a metric that is absent as missing data.
+_COUNTED_FROM_START = (
+    counts.Metric.STREAMS_OPENED,
+    counts.Metric.STREAMS_BROKEN,
+    counts.Metric.NEW_WORK,
+)
 
 
 class Replies:
@@ -47,7 +57,7 @@
         on_health: Health,
     ) -> None:
         self.on_health = on_health
-        self.names_by_service: dict[model.ServiceId, str] = {}
+        self._names_by_service: dict[model.ServiceId, str] = {}
         self._clock = clock
         self._placers = placers
         self._link = link
@@ -62,7 +72,28 @@
         """Tell a caller what is known about its request."""
         self._counters.add(counts.Metric.REFUSALS, str(reason))
         data = requests.refusal(work, outcome, str(reason))
-        return [effects.ToCaller(work.caller.address, data)]
+        ended = effects.RequestEnded(
+            self._name_of(work.caller.service_id),
+            _ENDS_BY_OUTCOME[outcome],
+        )
+        return [effects.ToCaller(work.caller.address, data), ended]
+
+    def answer(self, work: placement.Work, data: bytes) -> Effects:
+        """Pass one part of an answer to its caller."""
+        sent = effects.ToCaller(work.caller.address, data)
+        if wire.decode(data).part > 0:
+            return [sent]
+        taken = None
+        if work.size_class is not wire.SizeClass.LONG:
+            taken = requests.held_since_receipt(
+                work.payload, work, self._clock.monotonic()
+            )
+        ended = effects.RequestEnded(
+            self._name_of(work.caller.service_id),
+            effects.RequestOutcome.ANSWERED,
+            taken,
+        )
+        return [sent, ended]
 
     def ask(self, key: leaders.ShardKey, work: placement.Work) -> Effects:
         """Ask the likely holder of a record about a request."""
@@ -94,13 +125,22 @@
         self, key: leaders.ShardKey, request: placement.RequestKey
     ) -> None:
         """Count a request that is sent to an upstream."""
-        name = self.names_by_service.get(key.service_id, str(key.service_id))
+        name = self._name_of(key.service_id)
         self._counters.add(counts.Metric.NEW_WORK, name)
         shed = self._shed_by_shard.get(key)
         if shed and request in shed:
             shed.discard(request)
             self._counters.add(counts.Metric.RETRIES, name)
 
+    def set_name(self, service_id: model.ServiceId, name: str) -> None:
+        """Learn the name of a service and show its counts from 0."""
+        self._names_by_service[service_id] = name
+        for metric in _COUNTED_FROM_START:
+            self._counters.cell(metric, name)
+
+    def _name_of(self, service_id: model.ServiceId) -> str:
+        return self._names_by_service.get(service_id, str(service_id))
+
     def note_shed(
         self, key: leaders.ShardKey, request: placement.RequestKey
     ) -> None:
--- a/acaciamoor/balancer/core/streams.py
+++ b/acaciamoor/balancer/core/streams.py
@@ -17,6 +17,7 @@
 _SendUpstream = effects.ToUpstream
 # Creates a named tuple in a third of the time of its own constructor.
 _new = tuple.__new__
+_UPSTREAM_LOST = flows.RefusalReason.UPSTREAM_LOST.value
 _PURPOSES_BY_HOP = {
     flows.HopPurpose.RECORD: wire.ForwardPurpose.RECORD,
     flows.HopPurpose.RESOLVE: wire.ForwardPurpose.RESOLVE,
@@ -127,6 +128,10 @@
     ) -> Effects:
         """Tell the caller that its packet goes nowhere."""
         self._counters.add(counts.Metric.REFUSALS, reason)
+        if reason == _UPSTREAM_LOST:
+            self._counters.add(
+                counts.Metric.STREAMS_BROKEN, self._name_of(preamble.service)
+            )
         refusal = wire.Envelope(
             wire.EnvelopeKind.REFUSAL,
             preamble.service,
--- a/acaciamoor/balancer/core/work.py
+++ b/acaciamoor/balancer/core/work.py
@@ -76,7 +76,7 @@
     def set_service(self, service: model.Service) -> Effects:
         """Apply a version of a service at once, without activation delay."""
         self._services_by_id[service.service_id] = service
-        self._replies.names_by_service[service.service_id] = service.name
+        self._replies.set_name(service.service_id, service.name)
         return self._apply(service)
 
     def remove_service(self, service_id: model.ServiceId) -> Effects:
--- a/acaciamoor/balancer/shell/process.py
+++ b/acaciamoor/balancer/shell/process.py
@@ -144,7 +144,9 @@
             self._settings.metrics_address,
         )
         stack.callback(endpoint.close)
-        metrics.register(endpoint.meter('acaciamoor.balancer'), driver)
+        meter = endpoint.meter('acaciamoor.balancer')
+        metrics.register(meter, driver)
+        driver.effects.subscribe(metrics.RequestMeter(meter).record)
 
     async def _start_tasks(
         self, stack: contextlib.AsyncExitStack, driver: drivers.Driver
@@ -268,6 +270,16 @@
     LOG.log(effect.severity, effect.message, extra=fields)
 
 
+@_carry_out.register
+def _(
+    effect: cores.RequestEnded,
+    connection: platform_task.PlatformTask,
+    observation: observation_task.ObservationTask,
+    left: asyncio.Event,
+) -> None:
+    """Leave the end of a request to `metrics.RequestMeter`."""
+
+
 @_carry_out.register
 def _(
     effect: cores.Exit,
