--- a/acaciamoor/demo/__main__.py
+++ b/acaciamoor/demo/__main__.py
@@ -6,6 +6,7 @@
 import sys
 
 from acaciamoor.demo import launcher as launchers
+from acaciamoor.demo import report_page
 from acaciamoor.demo import run as runs
 from acaciamoor.demo import table
 import acaciamoor.settings as settings
@@ -38,6 +39,9 @@
         result = asyncio.run(runs.Demo(demo_settings, launcher).run())
     left = launcher.running()
     print(table.render(result.seen_by_service))
+    page = directory / 'report.html'
+    report_page.write(directory / 'metrics', page)
+    print(f'service-level burn: {page}')
     print(f'late runs of the drained upstream: {result.late_runs}')
     print(f'failed processes: {result.failed or "none"}')
     print(f'processes left behind: {len(left)}')
--- a/acaciamoor/load/scenarios/placement.py
+++ b/acaciamoor/load/scenarios/placement.py
@@ -57,7 +57,7 @@
 
 def run_stragglers(options: registries.Options) -> Measurements:
     """Measure short work beside stragglers, with the same arrivals."""
-    out = figures.Figures('stragglers', options.seed)
+    out = figures.Figures('placement-stragglers', options.seed)
     without = _steady(_world(options, None), loads.Mix(factor=1.0), options)
     # The same requests are compared: the straggling ones are left out.
     alone = loads.short_p99_ms(without.sent)
@@ -85,7 +85,7 @@
 
 def run_crest(options: registries.Options) -> Measurements:
     """Measure 4 s of demand at three times the capacity."""
-    out = figures.Figures('crest', options.seed)
+    out = figures.Figures('placement-crest', options.seed)
     for kind, announced in (
         (None, 0.5),
         (None, 1.0),
@@ -186,7 +186,7 @@
 
 def run_imbalance(options: registries.Options) -> Measurements:
     """Measure how evenly requests spread over equal upstreams."""
-    out = figures.Figures('imbalance', options.seed)
+    out = figures.Figures('placement-imbalance', options.seed)
     for kind in (None, Kind.HASH, Kind.TWO_OWN):
         world = _world(options, kind)
         rate = USED_SHARE * loads.capacity(world.settings, loads.Mix(0.0))
@@ -213,7 +213,7 @@
 
 def run_cold_upstream(options: registries.Options) -> Measurements:
     """Add an upstream that is ten times slower for its first 5 s."""
-    out = figures.Figures('cold_upstream', options.seed)
+    out = figures.Figures('placement-cold-upstream', options.seed)
     for kind in (None, Kind.TWO_OWN, Kind.LEAST_EXACT):
         world = _world(options, kind, options.upstreams + 1)
         *warm, cold = world.upstreams
@@ -236,7 +236,7 @@
 
 def run_misleading_report(options: registries.Options) -> Measurements:
     """Let one upstream always report no load and one always full slots."""
-    out = figures.Figures('misleading_report', options.seed)
+    out = figures.Figures('placement-misleading-report', options.seed)
     for kind in (None, Kind.TWO_REPORTED, Kind.LEAST_REPORTED):
         world = _world(options, kind)
         idle, full = world.upstreams[0], world.upstreams[1]
@@ -271,16 +271,16 @@
 def register(registry: registries.ScenarioRegistry) -> None:
     """Add all placement scenarios to `registry`."""
     runs = (
-        ('stragglers', run_stragglers),
-        ('crest', run_crest),
-        ('imbalance', run_imbalance),
-        ('cold_upstream', run_cold_upstream),
-        ('misleading_report', run_misleading_report),
-        ('placer_death', placement_changes.run_placer_death),
-        ('frozen_placer', placement_changes.run_frozen_placer),
-        ('uneven_views', placement_changes.run_uneven_views),
-        ('drain', placement_changes.run_drain),
-        ('placement_capacity', placement_capacity.run_capacity),
+        ('placement-stragglers', run_stragglers),
+        ('placement-crest', run_crest),
+        ('placement-imbalance', run_imbalance),
+        ('placement-cold-upstream', run_cold_upstream),
+        ('placement-misleading-report', run_misleading_report),
+        ('placement-placer-death', placement_changes.run_placer_death),
+        ('placement-frozen-placer', placement_changes.run_frozen_placer),
+        ('placement-uneven-views', placement_changes.run_uneven_views),
+        ('placement-drain', placement_changes.run_drain),
+        ('placement-capacity', placement_capacity.run_capacity),
     )
     for name, run in runs:
         summary = run.__doc__.partition('\n')[0]
--- a/acaciamoor/load/scenarios/placement_capacity.py
+++ b/acaciamoor/load/scenarios/placement_capacity.py
@@ -29,7 +29,7 @@
     options: registries.Options,
 ) -> list[measurement.Measurement]:
     """Measure microseconds a request and bytes a ledger entry."""
-    out = figures.Figures('placement_capacity', options.seed)
+    out = figures.Figures('placement-capacity', options.seed)
     for size in UPSTREAM_SIZES:
         out.add(
             None,
--- a/acaciamoor/load/scenarios/placement_changes.py
+++ b/acaciamoor/load/scenarios/placement_changes.py
@@ -88,13 +88,15 @@
 
 def run_placer_death(options: registries.Options) -> Measurements:
     """Kill the placer while it has requests queued and bound."""
-    return _run('placer_death', options, lambda world: world.kill_leader())
+    return _run(
+        'placement-placer-death', options, lambda world: world.kill_leader()
+    )
 
 
 def run_frozen_placer(options: registries.Options) -> Measurements:
     """Stop the placer's process for 5 s; it resumes unaware."""
     return _run(
-        'frozen_placer',
+        'placement-frozen-placer',
         options,
         lambda world: world.freeze_leader(5 * _SECOND),
     )
@@ -103,13 +105,15 @@
 def run_uneven_views(options: registries.Options) -> Measurements:
     """Let a joining host become the placer, which others learn unevenly."""
     return _run(
-        'uneven_views', options, lambda world: world.move_leader(leaving=False)
+        'placement-uneven-views',
+        options,
+        lambda world: world.move_leader(leaving=False),
     )
 
 
 def run_drain(options: registries.Options) -> Measurements:
     """Drain one upstream and measure its last new work."""
-    out = figures.Figures('drain', options.seed)
+    out = figures.Figures('placement-drain', options.seed)
     for kind in (None, Kind.TWO_OWN):
         world = worlds.World(
             world_settings.WorldSettings(
--- a/acaciamoor/load/tests/test_placement_scenarios.py
+++ b/acaciamoor/load/tests/test_placement_scenarios.py
@@ -30,13 +30,13 @@
 class PlacementScenariosTest(unittest.TestCase):
     def test_dead_placer_neither_doubles_nor_denies_work(self):
         """Guards against double runs and false "not run" at a takeover."""
-        measured = figures('placer_death')
+        measured = figures('placement-placer-death')
         bounded = [item for item in measured if item.target]
         self.assertEqual([0, 0, 0], [item.value for item in bounded])
 
     def test_scenario_detects_double_runs_and_false_refusals(self):
         """Guards against an oracle that sees nothing: the naive one fails."""
-        measured = figures('placer_death', naive=True)
+        measured = figures('placement-placer-death', naive=True)
         doubles, false_not_run, *_ = [item.value for item in measured]
         self.assertGreater(doubles, 0)
         self.assertGreater(false_not_run, 0)
@@ -45,9 +45,9 @@
         """Guards against head-of-line blocking; the naive ones show it."""
         missed = [
             item.measure
-            for item in figures('stragglers')
+            for item in figures('placement-stragglers')
             if item.target and not item.target.is_met_by(item.value)
         ]
         self.assertEqual([], missed)
-        by_hash = figures('stragglers', naive=True)[1]
+        by_hash = figures('placement-stragglers', naive=True)[1]
         self.assertGreater(by_hash.value, 1.25)
