Measure the control traffic of whole balancers under load

The network of whole cores moves from the tests to the harness, and a scenario counts the sealed bytes that each core sends.

--- a/acaciamoor/balancer/tests/fuzzing.py
+++ b/acaciamoor/balancer/tests/fuzzing.py
@@ -66,7 +66,7 @@
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
-        self.fleet = builders.CoreNetwork(HOSTS, seed, services())
+        self.fleet = builders.network(HOSTS, seed, services())
         self.step_number = 0
         self.streams: list[Caller] = []
         self.requests: list[Caller] = []
--- a/acaciamoor/balancer/tests/test_core.py
+++ b/acaciamoor/balancer/tests/test_core.py
@@ -20,7 +20,7 @@
     hosts = 3
 
     def setUp(self):
-        self.fleet = builders.CoreNetwork(hosts=self.hosts)
+        self.fleet = builders.network(hosts=self.hosts)
         self.fleet.run(SETTLED_SECONDS)
         self.service = self.fleet.services[0]
         self.source = random.Random(7)
--- a/acaciamoor/load/catalogue.py
+++ b/acaciamoor/load/catalogue.py
@@ -1,13 +1,21 @@
 """All scenarios of the load tool."""
 
 from acaciamoor.load import scenarios
+from acaciamoor.load.scenarios import balancers
 from acaciamoor.load.scenarios import configuration
 from acaciamoor.load.scenarios import flows
 from acaciamoor.load.scenarios import membership
 from acaciamoor.load.scenarios import placement
 from acaciamoor.load.scenarios import throughput
 
-_MODULES = (flows, placement, membership, configuration, throughput)
+_MODULES = (
+    flows,
+    placement,
+    membership,
+    configuration,
+    balancers,
+    throughput,
+)
 
 
 def registry() -> scenarios.ScenarioRegistry:
