Reset coverage when the number of shards of a service changes

Cause, found by reading: when a service shrinks from 65 to 64 upstreams its two shards become one. The remaining placer had covered its own shard for long, so it took a retransmission of the other shard's request for one that never ran, and ran it again. Answers to requests bound at the vanished shard were dropped, since they were looked up by the flow's present shard, and its placer went on binding with its old upstreams.

Change: a change of the number of shards resets the coverage of all placers of the service, retires the vanished ones, and answers go to every placer of the service, which ignore what is not theirs. The parts of WorkPath that follow services and members move to ServiceAssignments, so that both modules stay small.

--- a/acaciamoor/balancer/core/placers.py
+++ b/acaciamoor/balancer/core/placers.py
@@ -129,6 +129,18 @@
         self._shards_by_service[service.service_id] = shards
         return [ShardKey(service.service_id, shard) for shard in range(shards)]
 
+    def held(self, service_id: model.ServiceId) -> list[ShardKey]:
+        """Return the shards of a service that have a placer here."""
+        return [
+            key
+            for key in self.leaderships_by_shard
+            if key.service_id == service_id
+        ]
+
+    def shard_count(self, service_id: model.ServiceId) -> int | None:
+        """Return the shards of a service; None before its first version."""
+        return self._shards_by_service.get(service_id)
+
     def upstreams_of(
         self, key: ShardKey, service: model.Service
     ) -> tuple[model.Upstream, ...]:
--- a/acaciamoor/balancer/core/work.py
+++ b/acaciamoor/balancer/core/work.py
@@ -1,8 +1,10 @@
 """Path of requests: to the placer, to an upstream, and back."""
 
+import collections.abc
 import datetime
 import random
 
+from acaciamoor.balancer.core import assignments
 from acaciamoor.balancer.core import calls
 from acaciamoor.balancer.core import counters as counts
 from acaciamoor.balancer.core import effects
@@ -62,41 +64,29 @@
             clock, self.placers, link, counters, on_health
         )
         self._calls = calls.PlacerCalls(self.placers, table, self._replies)
-        self._services_by_id: dict[model.ServiceId, model.Service] = {}
+        self._assignments = assignments.ServiceAssignments(
+            self.placers, self._calls, clock
+        )
 
     def set_members(self, members: model.MembershipView) -> Effects:
         """Take in the hosts and lead what falls to this host."""
-        self.placers.set_members(members)
-        return [
-            effect
-            for service in self._services_by_id.values()
-            for effect in self._apply(service)
-        ]
+        return self._assignments.set_members(members)
 
     def set_service(self, service: model.Service) -> Effects:
         """Apply a version of a service at once, without activation delay."""
-        self._services_by_id[service.service_id] = service
         self._replies.set_name(service.service_id, service.name)
-        return self._apply(service)
+        return self._assignments.set_service(service)
 
     def remove_service(self, service_id: model.ServiceId) -> Effects:
         """Stop new work of a deleted service."""
-        self._services_by_id.pop(service_id, None)
-        done: Effects = []
-        for key, leadership in self.placers.leaderships_by_shard.items():
-            if key.service_id == service_id:
-                leadership.retired_at = self._clock.monotonic()
-                done += self._calls.carry_out(
-                    key, leadership.placer.set_upstreams(())
-                )
-        return done
+        return self._assignments.remove_service(service_id)
 
     def on_request(
         self, datagram: requests.RequestDatagram, hops: int = 0
     ) -> Effects:
         """Take a REQUEST, from the fabric or passed on by a peer."""
         key = self._shard(datagram)
-        if datagram.service_id not in self._services_by_id:
+        if datagram.service_id not in self._assignments.services_by_id:
             return self._unknown(datagram, 'unknown-service')
         if not self.placers.leads(key):
             return self._pass_on(key, datagram, hops)
@@ -105,7 +95,7 @@
     def on_stale_request(self, datagram: requests.RequestDatagram) -> Effects:
         """Take a REQUEST that waited while the process was paused."""
         key = self._shard(datagram)
-        known = datagram.service_id in self._services_by_id
+        known = datagram.service_id in self._assignments.services_by_id
         if known and self.placers.leads(key):
             return self._submit(key, datagram, placement.Origin.STALE)
         if known and datagram.envelope.idempotent:
@@ -119,7 +109,7 @@
         held: datetime.timedelta,
     ) -> Effects:
         """Take a request that a peer asks about or hands over."""
-        if datagram.service_id not in self._services_by_id:
+        if datagram.service_id not in self._assignments.services_by_id:
             return self._unknown(datagram, 'unknown-service')
         return self._submit(self._shard(datagram), datagram, origin, held)
 
@@ -173,8 +163,9 @@
                 envelope.parts,
                 payload=data,
             )
-            return self._calls.call(
-                key, lambda placer: placer.on_answer(answer)
+            return self._call_all(
+                model.ServiceId(envelope.service),
+                lambda placer: placer.on_answer(answer),
             )
         if envelope.outcome is not wire.Outcome.NOT_RUN:
             # The upstream gave up in the middle of a run. The placer ends
@@ -184,7 +175,28 @@
             key, placement.RequestKey(envelope.flow, envelope.request)
         )
         shed = placement.Shed(*numbers, envelope.attempt)
-        return self._calls.call(key, lambda placer: placer.on_shed(shed))
+        return self._call_all(
+            model.ServiceId(envelope.service),
+            lambda placer: placer.on_shed(shed),
+        )
+
+    def _call_all(
+        self,
+        service_id: model.ServiceId,
+        action: collections.abc.Callable[
+            [placement.Placer], list[placement.Effect]
+        ],
+    ) -> Effects:
+        """Run `action` on all placers of a service.
+
+        After a change of the shards a request may be bound at a placer other
+        than the one that its flow belongs to now.
+        """
+        return [
+            effect
+            for key in self.placers.held(service_id)
+            for effect in self._calls.call(key, action)
+        ]
 
     def on_observed(
         self,
@@ -229,25 +241,6 @@
             datagram.service_id, datagram.envelope.flow
         )
 
-    def _apply(self, service: model.Service) -> Effects:
-        done: Effects = []
-        for key in self.placers.shards_of(service):
-            known = key in self.placers.leaderships_by_shard
-            if not known and not self.placers.leads(key):
-                continue
-            leadership = self.placers.get(key, service.policy)
-            upstreams = self.placers.upstreams_of(key, service)
-            leadership.upstreams = upstreams
-            leadership.retired_at = None
-            done += self._calls.call(
-                key, lambda placer: placer.set_policy(service.policy)
-            )
-            done += self._calls.call(
-                key,
-                lambda placer, given=upstreams: placer.set_upstreams(given),
-            )
-        return done
-
     def _submit(
         self,
         key: leaders.ShardKey,
@@ -255,14 +248,7 @@
         origin: placement.Origin,
         held: datetime.timedelta = _ZERO,
     ) -> Effects:
-        service = self._services_by_id[key.service_id]
-        if key not in self.placers.leaderships_by_shard:
-            leadership = self.placers.get(key, service.policy)
-            leadership.upstreams = self.placers.upstreams_of(key, service)
-            self._calls.call(
-                key,
-                lambda placer: placer.set_upstreams(leadership.upstreams),
-            )
+        self._assignments.ensure_placer(key)
         work = datagram.work(self._clock.monotonic(), held)
         return self._calls.call(
             key, lambda placer: placer.submit(work, origin)
--- a/acaciamoor/balancer/tests/test_core.py
+++ b/acaciamoor/balancer/tests/test_core.py
@@ -103,6 +103,42 @@
             self.assertNotIn(port, self.fleet.ports_reached(flow))
 
 
+class ReshardingTest(unittest.TestCase):
+    def test_request_of_a_merged_shard_does_not_run_again(self):
+        """Guards against coverage that ignores work of another shard."""
+        upstreams = [
+            model_builders.upstream(f'desk-{index}') for index in range(65)
+        ]
+        large = model_builders.service(upstreams=upstreams)
+        fleet = builders.network(services=(large,))
+        fleet.run(SETTLED_SECONDS)
+        placers = fleet.cores_by_host['kgn-a-1'].work.placers
+        flow = next(
+            flow
+            for flow in range(1000)
+            if placers.shard_of(large.service_id, flow).shard == 1
+        )
+        fleet.send(
+            'kgn-a-1', builders.datagram(large, KIND.REQUEST, flow, request=1)
+        )
+        fleet.run(1)
+        kept = dict(list(large.upstreams_by_id.items())[:64])
+        fleet.change(dataclasses.replace(large, upstreams_by_id=kept))
+        fleet.run(1)
+        again = builders.datagram(
+            large,
+            KIND.REQUEST,
+            flow,
+            request=1,
+            attempt=1,
+            age=2 * builders.SECOND,
+        )
+        for host in sorted(fleet.cores_by_host):
+            fleet.send(host, again)
+        fleet.run(5)
+        self.assertEqual(1, len(fleet.ports_reached(flow)))
+
+
 class FaultTest(CoreCase):
     def test_resumed_placer_runs_nothing_that_waited(self):
         """Guards against a frozen process that runs stale requests."""
