--- a/acaciamoor/flows/tests/test_fuzz_flows.py
+++ b/acaciamoor/flows/tests/test_fuzz_flows.py
@@ -190,9 +190,9 @@
     @stateful.invariant()
     def no_flow_is_broken(self):
         cluster = self.site.cluster
-        assert cluster.wrong_service == 0
-        assert cluster.broken_flows() == 0
-        assert cluster.silent_flows(cluster.now - 2 * SETTLE) == 0
+        assert cluster.oracle.wrong_service == 0
+        assert cluster.oracle.broken_flows() == 0
+        assert cluster.oracle.silent_flows(cluster.now - 2 * SETTLE) == 0
 
 
 class FlowMachineTest(FlowMachine.TestCase):
@@ -215,4 +215,4 @@
                     ),
                 )
                 site.faults('change_view', 'kill', 0.3)
-                self.assertGreater(site.cluster.broken_flows(), 0)
+                self.assertGreater(site.cluster.oracle.broken_flows(), 0)
--- a/acaciamoor/load/scenarios/flow_cluster.py
+++ b/acaciamoor/load/scenarios/flow_cluster.py
@@ -1,4 +1,4 @@
-"""Many flow routers, their callers and an oracle on a manual clock."""
+"""Many flow routers and their callers on a manual clock."""
 
 import collections
 import collections.abc
@@ -9,6 +9,7 @@
 from acaciamoor import model
 from acaciamoor import views
 from acaciamoor import wire
+from acaciamoor.load.scenarios import flow_oracle
 from acaciamoor.load.scenarios import flow_types
 
 _TICK = datetime.timedelta(milliseconds=250)
@@ -21,18 +22,11 @@
 # Views that the peer of a joining host may not have yet.
 _RECENT = datetime.timedelta(seconds=5)
 _ZERO = datetime.timedelta(0)
-_TRANSIENT = frozenset(
-    [flows.RefusalReason.NOT_FRESH, flows.RefusalReason.NO_QUORUM]
-)
 
 
 class FlowCluster:
     """Balancers of one data centre under faults.
 
-    The oracle knows the upstream that the first packet of every flow reached.
-    A flow is broken if a later packet reaches another upstream or is refused
-    for good although the first upstream lives.
-
     Parameters
     ----------
     make_router : Callable
@@ -45,6 +39,10 @@
         Behaviour of the network between the hosts.
     echo_token : bool
         Whether callers send the name of the upstream that answered first.
+
+    See Also
+    --------
+    acaciamoor.load.scenarios.flow_oracle.FlowOracle : Judges the packets.
     """
 
     def __init__(
@@ -57,16 +55,10 @@
     ) -> None:
         self.network = harness.VirtualNetwork(seed, link)
         self.random = self.network.random
-        self.flows: list[flow_types.CallerFlow] = []
-        self.hops: collections.Counter[int] = collections.Counter()
-        self.refusals: collections.Counter[flows.RefusalReason] = (
-            collections.Counter()
-        )
-        self.wrong_service = 0
+        self.oracle = flow_oracle.FlowOracle()
         self.leaving: set[model.HostId] = set()
         self.frozen: set[model.HostId] = set()
         self.hosts: dict[model.HostId, flow_types.Host] = {}
-        self.dead_upstreams: set[model.UpstreamId] = set()
         self._make_router = make_router
         self._echo_token = echo_token
         # Hosts that the others believe to be live, and those of them that
@@ -76,9 +68,6 @@
         self._published: dict[
             model.ServiceId, list[tuple[views.ServiceView, datetime.timedelta]]
         ] = collections.defaultdict(list)
-        self._allowed: dict[model.ServiceId, set[model.UpstreamId]] = (
-            collections.defaultdict(set)
-        )
         for number in range(balancers):
             self._start(model.HostId(f'host-{number}'))
         self._announce(_ZERO)
@@ -113,9 +102,7 @@
         from the time when they would have missed its announcement.
         """
         self._published[view.service_id].append((view, self.now))
-        self._allowed[view.service_id] |= {
-            item.upstream_id for item in view.upstreams
-        }
+        self.oracle.allow(view)
         published = self.now
         for host_id in sorted(self.hosts):
             delay = self.random.random() * spread
@@ -178,7 +165,7 @@
         flow = flow_types.CallerFlow(
             service_id, self.random.getrandbits(64), self.now
         )
-        self.flows.append(flow)
+        self.oracle.flows.append(flow)
         self._send_open(flow)
         return flow
 
@@ -191,23 +178,6 @@
         flow.closed = kind is wire.EnvelopeKind.CLOSE
         self._spray(flow, kind)
 
-    def broken_flows(self) -> int:
-        """Return the number of broken flows whose upstream lives."""
-        return sum(
-            flow.broken
-            for flow in self.flows
-            if flow.upstream_id not in self.dead_upstreams
-        )
-
-    def silent_flows(self, since: datetime.timedelta) -> int:
-        """Return the open flows of which no packet got through lately."""
-        return sum(
-            not flow.closed
-            and flow.upstream_id not in self.dead_upstreams
-            and max(flow.opened, flow.delivered or _ZERO) < since
-            for flow in self.flows
-        )
-
     def control_bytes(self) -> dict[model.HostId, int]:
         """Return the larger of sent and received bytes of every host."""
         return {
@@ -262,25 +232,9 @@
                 ),
             )
         elif isinstance(decision, flows.ToUpstream):
-            self.hops[packet.hops] += 1
-            self._deliver(flow, decision.upstream)
+            self.oracle.deliver(packet, decision.upstream, self.now)
         else:
-            self.refusals[decision.reason] += 1
-            if flow.delivered is not None and (
-                decision.reason not in _TRANSIENT
-            ):
-                flow.broken = True
-
-    def _deliver(
-        self, flow: flow_types.CallerFlow, upstream: model.Upstream
-    ) -> None:
-        if upstream.upstream_id not in self._allowed[flow.service_id]:
-            self.wrong_service += 1
-        if flow.upstream_id is None:
-            flow.upstream_id = upstream.upstream_id
-        elif flow.upstream_id != upstream.upstream_id and not flow.closed:
-            flow.broken = True
-        flow.delivered = self.now
+            self.oracle.refuse(flow, decision.reason)
 
     def _receive(
         self, host_id: model.HostId, sender: str, message: object
--- a/acaciamoor/load/scenarios/flow_costs.py
+++ b/acaciamoor/load/scenarios/flow_costs.py
@@ -105,7 +105,7 @@
         _open_short_flows(experiment, _CONTROL_WARM_UP)
         experiment.publish(2, options.upstreams, {0}, spread=_UNEVEN)
         before = cluster.control_bytes()
-        opened = len(cluster.flows)
+        opened = len(cluster.oracle.flows)
         _open_short_flows(experiment, _CONTROL_WINDOW)
         seconds = _CONTROL_WINDOW.total_seconds()
         rates = [
@@ -122,17 +122,21 @@
         figures.add(
             contender,
             'new flows per balancer',
-            (len(cluster.flows) - opened) / seconds / options.balancers,
+            (len(cluster.oracle.flows) - opened) / seconds / options.balancers,
             'flows/s',
         )
         figures.add(
-            contender, 'broken flows', cluster.broken_flows(), 'flows', NONE
+            contender,
+            'broken flows',
+            cluster.oracle.broken_flows(),
+            'flows',
+            NONE,
         )
         figures.add(
             contender,
             'records per open flow, all hosts',
             cluster.recorded_flows()
-            / sum(not flow.closed for flow in cluster.flows),
+            / sum(not flow.closed for flow in cluster.oracle.flows),
             'records',
         )
     return figures.measurements
--- a/acaciamoor/load/scenarios/flows.py
+++ b/acaciamoor/load/scenarios/flows.py
@@ -33,12 +33,12 @@
         plan(experiment)
         experiment.run()
         cluster = experiment.cluster
-        broken = cluster.broken_flows()
+        broken = cluster.oracle.broken_flows()
         figures.add(contender, 'broken flows', broken, 'flows', _NONE)
         figures.add(
             contender,
             'packets to a wrong service',
-            cluster.wrong_service,
+            cluster.oracle.wrong_service,
             'packets',
             _NONE,
         )
@@ -53,7 +53,7 @@
     experiment: contenders.Experiment,
 ) -> None:
     cluster = experiment.cluster
-    hops, packets = cluster.hops, cluster.hops.total()
+    hops, packets = cluster.oracle.hops, cluster.oracle.hops.total()
     mean = sum(hop * count for hop, count in hops.items()) / packets
     figures.add(contender, 'hops per packet', mean, 'hops')
     figures.add(contender, 'packets without a hop', hops[0] / packets, 'share')
@@ -61,13 +61,13 @@
     figures.add(
         contender,
         'refused packets',
-        sum(cluster.refusals.values()),
+        sum(cluster.oracle.refusals.values()),
         'packets',
     )
     figures.add(
         contender,
         'records per flow at the peak, all hosts',
-        experiment.peak_records / len(cluster.flows),
+        experiment.peak_records / len(cluster.oracle.flows),
         'records',
     )
     seconds = cluster.now.total_seconds()
