--- a/acaciamoor/load/scenarios/placement.py
+++ b/acaciamoor/load/scenarios/placement.py
@@ -1,4 +1,4 @@
-"""Placement under load: stragglers, a crest, and unequal upstreams.
+"""Placement under load: stragglers, a peak, and unequal upstreams.
 
 Latencies contain the way from the caller and back: 1 ms each way between the
 caller and a balancer, and 0.2 ms on each link inside the data centre.
@@ -22,12 +22,12 @@
 Measurements = list[measurement.Measurement]
 
 USED_SHARE = 0.6
-CREST = 3.0
+PEAK = 3.0
 _SECOND = datetime.timedelta(seconds=1)
 # Longest virtual time of a run; longer ones would exceed 15 s of real time.
 _LONGEST = 15 * _SECOND
-_CREST_START = 4 * _SECOND
-_CREST_END = 8 * _SECOND
+_PEAK_START = 4 * _SECOND
+_PEAK_END = 8 * _SECOND
 
 
 def _world(
@@ -83,9 +83,9 @@
     return out.measurements
 
 
-def run_crest(options: registries.Options) -> Measurements:
+def run_peak(options: registries.Options) -> Measurements:
     """Measure 4 s of demand at three times the capacity."""
-    out = figures.Figures('placement-crest', options.seed)
+    out = figures.Figures('placement-peak', options.seed)
     for kind, announced in (
         (None, 0.5),
         (None, 1.0),
@@ -97,25 +97,25 @@
         full = loads.capacity(world.settings, mix)
 
         def rate(elapsed: datetime.timedelta, full: float = full) -> float:
-            at_crest = _CREST_START <= elapsed < _CREST_END
-            return full * (CREST if at_crest else USED_SHARE)
+            at_peak = _PEAK_START <= elapsed < _PEAK_END
+            return full * (PEAK if at_peak else USED_SHARE)
 
         load = loads.Load(world, mix, rate, options.seed)
-        load.run(3 * _CREST_START, 3 * _SECOND)
+        load.run(3 * _PEAK_START, 3 * _SECOND)
         label = '' if announced < 1.0 else ', all long work announced'
-        _add_crest(out, kind, world, load, label)
+        _add_peak(out, kind, world, load, label)
     return out.measurements
 
 
-def _add_crest(
+def _add_peak(
     out: figures.Figures,
     kind: Kind | None,
     world: worlds.World,
     load: loads.Load,
     label: str,
 ) -> None:
-    start, end = load.start + _CREST_START, load.start + _CREST_END
-    at_crest = [i for i in load.sent if start <= i.record.sent_at < end]
+    start, end = load.start + _PEAK_START, load.start + _PEAK_END
+    at_peak = [i for i in load.sent if start <= i.record.sent_at < end]
     worked = sum(
         (_work_between(item, start, end) for item in load.sent),
         datetime.timedelta(0),
@@ -123,26 +123,26 @@
     slots = world.settings.upstreams * world.settings.slots
     out.add(
         kind,
-        f'goodput at the crest, share of the slots{label}',
+        f'goodput at the peak, share of the slots{label}',
         worked / (slots * (end - start)),
         'ratio',
         figures.target(figures.AT_LEAST, 0.9),
     )
     refused = [
         item.record.latency
-        for item in at_crest
+        for item in at_peak
         if item.record.outcome is wire.Outcome.NOT_RUN
     ]
     out.add(
         kind,
-        f'p99 of refusals at the crest{label}',
+        f'p99 of refusals at the peak{label}',
         loads.percentile_ms(refused, 0.99),
         'ms',
         figures.target(figures.LESS, 10.0),
     )
-    p99 = loads.short_p99_ms(at_crest)
+    p99 = loads.short_p99_ms(at_peak)
     out.add(kind, f'p99 of short work{label}', p99, 'ms')
-    short = [item for item in at_crest if not item.straggler]
+    short = [item for item in at_peak if not item.straggler]
     completed = sum(item.completed for item in short)
     share = completed / len(short)
     out.add(kind, f'short work completed{label}', share, 'ratio')
@@ -272,7 +272,7 @@
     """Add all placement scenarios to `registry`."""
     runs = (
         ('placement-stragglers', run_stragglers),
-        ('placement-crest', run_crest),
+        ('placement-peak', run_peak),
         ('placement-imbalance', run_imbalance),
         ('placement-cold-upstream', run_cold_upstream),
         ('placement-misleading-report', run_misleading_report),
