Show draining upstreams in the report

The report of the demo showed the kill of a host but not the drain. Balancers export the number of draining upstreams of a service, and the page plots the highest number that any host reports.

--- a/acaciamoor/balancer/core/gauges.py
+++ b/acaciamoor/balancer/core/gauges.py
@@ -30,6 +30,11 @@
     RETAINED_VIEWS = ('retained_views', '', 'Views that packets may need.')
     QUEUED = ('queued_requests', '', 'Requests that wait for a slot here.')
     BOUND = ('bound_requests', '', 'Requests that an upstream may run.')
+    DRAINING = (
+        'draining_upstreams',
+        'service',
+        'Upstreams of the data centre that are draining.',
+    )
     EJECTED = ('ejected_upstreams', 'service', 'Upstreams without new flows.')
 
     def __init__(self, title: str, label: str, description: str) -> None:
@@ -41,6 +46,7 @@
 class Readable(typing.Protocol):
     """What gauges are read from: a balancer core."""
 
+    settings: typing.Any
     control: typing.Any
     work: typing.Any
 
@@ -70,6 +76,18 @@
     }
 
 
+def _draining(core: Readable) -> Values:
+    return {
+        service.name: float(
+            sum(
+                not upstream.takes_new_work
+                for upstream in service.upstreams_in(core.settings.data_centre)
+            )
+        )
+        for service in core.control.store.services_by_id.values()
+    }
+
+
 _READERS_BY_GAUGE = {
     Gauge.LIVE_HOSTS: _member(lambda members: len(members.live)),
     Gauge.LEAVING_HOSTS: _member(lambda members: len(members.leaving)),
@@ -89,5 +107,6 @@
     },
     Gauge.QUEUED: lambda core: {'': core.work.placers.queued},
     Gauge.BOUND: lambda core: {'': core.work.placers.bound},
+    Gauge.DRAINING: _draining,
     Gauge.EJECTED: _ejected,
 }
--- a/acaciamoor/report/metric_names.py
+++ b/acaciamoor/report/metric_names.py
@@ -17,4 +17,7 @@
 SHORT_WORK_BUCKET = 'acaciamoor_balancer_short_work_seconds_bucket'
 BUCKET_LABEL = 'le'
 
+# Gauge: upstreams that are draining, as each host knows it.
+DRAINING = 'acaciamoor_balancer_draining_upstreams'
+
 ALL = frozenset([REQUESTS, STREAMS_OPENED, STREAMS_BROKEN, SHORT_WORK_BUCKET])
--- a/acaciamoor/report/page.py
+++ b/acaciamoor/report/page.py
@@ -42,6 +42,8 @@
         '<h2>Hosts</h2>',
         _host_table(summary),
         host_plot(history),
+        '<h2>Draining upstreams</h2>',
+        draining_plot(history),
     ]
     for item in assessments:
         title = f'{item.objective.service}: {item.objective.kind.value}'
@@ -89,6 +91,30 @@
     return _svg(drawing)
 
 
+def draining_plot(history: series.History) -> str:
+    """Return a plot of the draining upstreams of each service.
+
+    Hosts learn of a drain at different times, so the highest number of any
+    host counts.
+    """
+    drawing = figure.Figure(figsize=(8, 2.0), layout='constrained')
+    axes = drawing.subplots()
+    for service in sorted({item.service for item in history.draining}):
+        times, highest = [], []
+        latest_by_host: dict[str, float] = {}
+        for item in history.draining:
+            if item.service == service:
+                latest_by_host[item.host] = item.upstreams
+                times.append(item.time)
+                highest.append(max(latest_by_host.values()))
+        axes.step(times, highest, where='post', label=service)
+    if history.draining:
+        axes.legend(loc='upper left')
+    axes.set_ylabel('upstreams')
+    axes.set_xlim(history.start, history.end)
+    return _svg(drawing)
+
+
 def _rate(
     history: series.History,
     item: burn.Assessment,
--- a/acaciamoor/report/series.py
+++ b/acaciamoor/report/series.py
@@ -57,6 +57,16 @@
         return overlap / (self.end - self.start)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainingSample:
+    """Draining upstreams of a service as one host reported them."""
+
+    time: datetime.datetime
+    host: str
+    service: str
+    upstreams: float
+
+
 class History:
     """All intervals of all hosts.
 
@@ -73,6 +83,8 @@
         Times of the first and the last scrape.
     interval : datetime.timedelta
         Usual time between scrapes.
+    draining : tuple of DrainingSample
+        Draining upstreams by scrape, in order of time.
 
     Raises
     ------
@@ -90,6 +102,11 @@
         times = sorted({item.time for item in scrapes})
         self.start, self.end = times[0], times[-1]
         self.interval = _usual_interval(scrapes)
+        self.draining = tuple(
+            sample
+            for item in sorted(scrapes, key=lambda item: item.time)
+            for sample in _draining_samples(item)
+        )
         self.intervals: list[Interval] = []
         for host in self.hosts:
             self._add(host, [item for item in scrapes if item.host == host])
@@ -188,6 +205,18 @@
     return dict(values)
 
 
+def _draining_samples(
+    scrape: scrape_types.Scrape,
+) -> collections.abc.Iterator[DrainingSample]:
+    for family in parser.text_string_to_metric_families(scrape.text or ''):
+        for sample in family.samples:
+            if sample.name == metric_names.DRAINING:
+                service = sample.labels[metric_names.SERVICE_LABEL]
+                yield DrainingSample(
+                    scrape.time, scrape.host, service, sample.value
+                )
+
+
 def _has_restarted(before: Values, after: Values) -> bool:
     return any(after.get(key, 0.0) < value for key, value in before.items())
 
--- a/acaciamoor/report/tests/test_report.py
+++ b/acaciamoor/report/tests/test_report.py
@@ -102,6 +102,15 @@
             0.0, found.coverage('entry-2', found.start, found.end)
         )
 
+    def test_draining_upstreams_are_shown_only_where_reported(self):
+        """Guards against a host that was not scraped and counts as 0."""
+        name = metric_names.DRAINING
+        found = history(None, f'{name}{{service="desk"}} 1\n')
+        self.assertEqual(
+            [(START + MINUTE, 'desk', 1.0)],
+            [(i.time, i.service, i.upstreams) for i in found.draining],
+        )
+
     def test_p99_counts_work_above_the_limit(self):
         """Guards against a bucket above the limit that counts as good."""
         objective = report.Objective(
@@ -159,7 +168,8 @@
         self.assertIn('burn no data short', self.render('text'))
         page = self.render('html')
         self.assertIn('<td class="missing">no data</td>', page)
-        self.assertEqual(3, page.count('<svg'))
+        # Hosts, draining upstreams and one plot for each objective.
+        self.assertEqual(4, page.count('<svg'))
         for outside in ('src="http', 'href="http', '<script'):
             self.assertNotIn(outside, page)
 
