--- a/acaciamoor/naive/tests/test_naive_flows.py
+++ b/acaciamoor/naive/tests/test_naive_flows.py
@@ -57,7 +57,7 @@
     experiment = contenders.Experiment(contender, OPTIONS)
     experiment.at(0.5, lambda: fault(experiment))
     experiment.run(FLOWS)
-    return experiment.cluster.broken_flows()
+    return experiment.cluster.oracle.broken_flows()
 
 
 class DifferentialTest(unittest.TestCase):
