Add a forwarder for hosts whose upstreams answer callers directly

The first, thin path on the users' platform: one process a host, which places opening packets, writes a routing token into them and finds the upstream of all later packets from the token alone. Routes and upstreams come from the platform's store. The adapter in platform/ holds the wire formats.

--- a/acaciamoor/balancer/shell/driver.py
+++ b/acaciamoor/balancer/shell/driver.py
@@ -7,7 +7,7 @@
 from reactivex import subject
 
 from acaciamoor.balancer import core as cores
-from acaciamoor.balancer.shell import datagrams
+from acaciamoor import sockets
 
 CALLER_DATAGRAM_BYTES = 2048
 PEER_DATAGRAM_BYTES = 65535
@@ -32,9 +32,9 @@
     def __init__(
         self,
         core: cores.BalancerCore,
-        caller_socket: datagrams.DatagramSocket,
-        upstream_socket: datagrams.DatagramSocket,
-        peer_socket: datagrams.DatagramSocket,
+        caller_socket: sockets.DatagramSocket,
+        upstream_socket: sockets.DatagramSocket,
+        peer_socket: sockets.DatagramSocket,
     ) -> None:
         self.core = core
         self.events: subject.Subject[cores.Event] = subject.Subject()
--- a/acaciamoor/balancer/shell/process.py
+++ b/acaciamoor/balancer/shell/process.py
@@ -13,7 +13,7 @@
 
 from acaciamoor.balancer import core as cores
 from acaciamoor.balancer import keys
-from acaciamoor.balancer.shell import datagrams
+from acaciamoor import sockets
 from acaciamoor.balancer.shell import driver as drivers
 from acaciamoor.balancer.shell import health_endpoint
 from acaciamoor.balancer.shell import metrics
@@ -128,9 +128,9 @@
         large = drivers.PEER_DATAGRAM_BYTES
         return drivers.Driver(
             core,
-            datagrams.DatagramSocket(listen.ip, listen.port, small),
-            datagrams.DatagramSocket(listen.ip, 0, small),
-            datagrams.DatagramSocket(peer.ip, peer.port, large),
+            sockets.DatagramSocket(listen.ip, listen.port, small),
+            sockets.DatagramSocket(listen.ip, 0, small),
+            sockets.DatagramSocket(peer.ip, peer.port, large),
         )
 
     def _serve_metrics(
--- a/acaciamoor/clock/clock.py
+++ b/acaciamoor/clock/clock.py
@@ -22,8 +22,8 @@
 class SystemClock:
     """Clock of the operating system.
 
-    The monotonic time includes time in which the process was stopped, so a
-    paused process can tell that it was paused.
+    The monotonic time includes time in which the process was stopped or the
+    machine was suspended, so a paused process can tell that it was paused.
     """
 
     def now(self) -> datetime.datetime:
@@ -32,7 +32,9 @@
 
     def monotonic(self) -> datetime.timedelta:
         """Return the time since an arbitrary fixed instant."""
-        return datetime.timedelta(microseconds=time.monotonic_ns() // 1000)
+        return datetime.timedelta(
+            microseconds=time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+        )
 
 
 class ManualClock:
--- a/acaciamoor/model/documents/__init__.py
+++ b/acaciamoor/model/documents/__init__.py
@@ -2,7 +2,7 @@
 
 from acaciamoor.model.documents.checks import Document
 from acaciamoor.model.documents.checks import parse
-from acaciamoor.model.documents.checks import VALUE_LIMIT_BYTES
+from acaciamoor.model.limits import VALUE_LIMIT_BYTES
 from acaciamoor.model.documents.checks import value_of
 from acaciamoor.model.documents.claims import AddressClaimDocument
 from acaciamoor.model.documents.claims import CLAIM_KIND
--- a/acaciamoor/model/documents/checks.py
+++ b/acaciamoor/model/documents/checks.py
@@ -7,9 +7,8 @@
 
 from acaciamoor import findings
 from acaciamoor.model import address as addresses
+from acaciamoor.model.limits import VALUE_LIMIT_BYTES
 
-# Largest value that the platform takes, in bytes.
-VALUE_LIMIT_BYTES = 1_000_000
 D = typing.TypeVar('D', bound='Document')
 _UNKNOWN_FIELD = 'extra_forbidden'
 
--- a/acaciamoor/platform/__init__.py
+++ b/acaciamoor/platform/__init__.py
@@ -1,4 +1,10 @@
-"""Objects with versions on the platform, and its list of hosts."""
+"""Objects with versions on the platform, and its list of hosts.
+
+Names from modules that need aiohttp or pydantic are loaded at first use, so
+that a process that forwards packets starts without these libraries.
+"""
+
+import importlib
 
 from acaciamoor.platform.backoff import Backoff
 from acaciamoor.platform.errors import Conflict
@@ -9,12 +15,6 @@
 from acaciamoor.platform.errors import StoreError
 from acaciamoor.platform.errors import Unavailable
 from acaciamoor.platform.errors import VersionExpired
-from acaciamoor.platform.hosts import Host
-from acaciamoor.platform.hosts import HostList
-from acaciamoor.platform.hosts import HostState
-from acaciamoor.platform.hosts import list_hosts
-from acaciamoor.platform.http import HttpTransport
-from acaciamoor.platform.http import Timeouts
 from acaciamoor.platform.objects import Change
 from acaciamoor.platform.objects import EventType
 from acaciamoor.platform.objects import FieldSelector
@@ -27,6 +27,15 @@
 from acaciamoor.platform.objects import Write
 from acaciamoor.platform.store import PlatformStore
 
+_MODULES_BY_LAZY_NAME = {
+    'Host': 'hosts',
+    'HostList': 'hosts',
+    'HostState': 'hosts',
+    'HttpTransport': 'http',
+    'Timeouts': 'http',
+    'list_hosts': 'hosts',
+}
+
 __all__ = [
     'VALUE_LIMIT_BYTES',
     'Backoff',
@@ -55,3 +64,11 @@
     'Write',
     'list_hosts',
 ]
+
+
+def __getattr__(name: str) -> object:
+    module = _MODULES_BY_LAZY_NAME.get(name)
+    if module is None:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    loaded = importlib.import_module(f'{__name__}.{module}')
+    return getattr(loaded, name)
--- a/acaciamoor/platform/http.py
+++ b/acaciamoor/platform/http.py
@@ -14,6 +14,7 @@
 from acaciamoor.platform import codec
 from acaciamoor.platform import errors
 from acaciamoor.platform import objects
+from acaciamoor.platform import statuses
 
 # A watch line holds one object.
 _LINE_LIMIT_BYTES = 2 * objects.VALUE_LIMIT_BYTES
@@ -22,16 +23,6 @@
     aiohttp.ConnectionTimeoutError,
 )
 _LOST = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
-_REJECTED = frozenset(
-    [
-        http.HTTPStatus.BAD_REQUEST,
-        http.HTTPStatus.UNAUTHORIZED,
-        http.HTTPStatus.FORBIDDEN,
-        http.HTTPStatus.METHOD_NOT_ALLOWED,
-        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        http.HTTPStatus.UNPROCESSABLE_ENTITY,
-    ]
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,23 +201,13 @@
 ) -> None:
     if response.ok:
         return
-    text = await response.text()
-    if response.status == http.HTTPStatus.CONFLICT:
-        raise errors.Conflict(response.url.name)
-    if response.status == http.HTTPStatus.NOT_FOUND:
-        raise errors.NotFound(response.url.name)
-    if response.status == http.HTTPStatus.GONE:
-        raise errors.VersionExpired(text)
-    if response.status == http.HTTPStatus.TOO_MANY_REQUESTS:
-        raise errors.RateLimited(_retry_after(response))
-    if response.status in _REJECTED:
-        raise errors.Rejected(text)
-    raise failure(f'status {response.status}: {text}')
-
-
-def _retry_after(response: aiohttp.ClientResponse) -> datetime.timedelta:
-    text = response.headers.get('Retry-After', '')
-    return datetime.timedelta(seconds=int(text) if text.isdecimal() else 1)
+    raise statuses.error_for(
+        response.status,
+        response.url.name,
+        await response.text(),
+        response.headers.get('Retry-After', ''),
+        failure,
+    )
 
 
 @contextlib.contextmanager
--- a/acaciamoor/platform/objects.py
+++ b/acaciamoor/platform/objects.py
@@ -5,11 +5,10 @@
 import enum
 import typing
 
-from acaciamoor.model import documents
+from acaciamoor.model import limits
 
 Value = collections.abc.Mapping[str, typing.Any]
-# Largest value that the platform takes, in bytes.
-VALUE_LIMIT_BYTES = documents.VALUE_LIMIT_BYTES
+VALUE_LIMIT_BYTES = limits.VALUE_LIMIT_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/acaciamoor/platform/watching.py
+++ b/acaciamoor/platform/watching.py
@@ -68,7 +68,11 @@
                 if event.version >= self._version:
                     self._version = event.version
                     yield event
-            elif event.version > self._version:
+            elif event.version > self._version or (
+                # Several objects may be gone at the version of one answer.
+                event.event_type is objects.EventType.DELETED
+                and event.version == self._version
+            ):
                 self._note(event)
                 yield event
 
--- a/acaciamoor/telemetry/__init__.py
+++ b/acaciamoor/telemetry/__init__.py
@@ -1,4 +1,8 @@
-"""Logs and metrics of all programs."""
+"""Logs and metrics of all programs.
+
+`MetricsEndpoint` is loaded at first use: a process that forwards packets must
+start before OpenTelemetry's SDK is imported.
+"""
 
 from acaciamoor.telemetry.flags import DATA_CENTRE
 from acaciamoor.telemetry.flags import FLAGS
@@ -12,7 +16,6 @@
 from acaciamoor.telemetry.logs import configure_logging
 from acaciamoor.telemetry.logs import Fields
 from acaciamoor.telemetry.logs import new_formatter
-from acaciamoor.telemetry.metrics import MetricsEndpoint
 
 __all__ = [
     'DATA_CENTRE',
@@ -29,3 +32,11 @@
     'configure_logging',
     'new_formatter',
 ]
+
+
+def __getattr__(name: str) -> object:
+    if name != 'MetricsEndpoint':
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    from acaciamoor.telemetry import metrics
+
+    return metrics.MetricsEndpoint
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Puts the libraries and the program of the hosts under target/deps.
+set -eu
+deps=target/deps
+if ! cmp -s deploy/requirements.txt target/requirements.installed; then
+    rm -rf "$deps"
+    python3 -m pip install --quiet --disable-pip-version-check --no-deps \
+        --target "$deps" -r deploy/requirements.txt
+    cp deploy/requirements.txt target/requirements.installed
+fi
+rm -rf "$deps/acaciamoor" "$deps/acaciamoor_site"
+cp -r acaciamoor platform/acaciamoor_site "$deps/"
+python3 -m compileall -q "$deps/acaciamoor" "$deps/acaciamoor_site"
