--- a/acaciamoor/forwarder/catalogue.py
+++ b/acaciamoor/forwarder/catalogue.py
@@ -4,6 +4,7 @@
 
 from acaciamoor import directory
 from acaciamoor import platform
+from acaciamoor import replica
 
 
 class Catalogue(typing.Protocol):
@@ -12,6 +13,7 @@
     routes_kind: str
     routes_name: str
     upstreams_kind: str
+    hosts_kind: str
 
     def routes(
         self, stored: platform.StoredObject
@@ -22,3 +24,9 @@
         self, stored: platform.StoredObject
     ) -> directory.ListedUpstream | None:
         """Return the entry in a value; None if it names no upstream."""
+
+    def host(self, stored: platform.StoredObject) -> replica.Peer | None:
+        """Return the host in a value; None if it cannot be understood."""
+
+    def host_value(self, peer: replica.Peer) -> platform.objects.Value:
+        """Return the value under which a host lists itself."""
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -15,8 +15,9 @@
 from acaciamoor.forwarder import catalogue as catalogues
 from acaciamoor.forwarder import core as cores
 from acaciamoor.forwarder import packet as packets
+from acaciamoor.forwarder.shell import adoption
 from acaciamoor.forwarder.shell import driver as drivers
-from acaciamoor.forwarder.shell import follower as followers
+from acaciamoor.forwarder.shell import following as followings
 from acaciamoor.forwarder.shell import readiness
 
 _LOG = logging.getLogger(__name__)
@@ -39,9 +40,12 @@
     leave_after : datetime.timedelta
         Time for which a host that was told to end goes on forwarding. The
         fabric notices after two checks that are 0.5 s apart.
+    following : FollowingSettings
+        How routes and upstreams are followed.
     """
 
     core: cores.CoreSettings
+    following: followings.FollowingSettings
     listen: model.Address
     readiness_address: model.Address
     leave_after: datetime.timedelta = datetime.timedelta(seconds=2.5)
@@ -56,8 +60,8 @@
         Addresses and limits.
     codec : PacketCodec
         Wire form of packets.
-    transport : Transport
-        Calls to the platform's store.
+    patient, frequent : Transport
+        Calls to the platform's store; see `Following`.
     catalogue : Catalogue
         Objects of the store that are followed.
     clock : Clock
@@ -70,7 +74,8 @@
         self,
         settings: ProcessSettings,
         codec: packets.PacketCodec,
-        transport: platform.Transport,
+        patient: platform.Transport,
+        frequent: platform.Transport,
         catalogue: catalogues.Catalogue,
         clock: clocks.Clock,
         random_source: random.Random,
@@ -89,15 +94,16 @@
             clock,
             settings.core.pause,
         )
-        self._follower = followers.Follower(
-            transport,
+        self._following = followings.Following(
+            settings.following,
             catalogue,
-            self._directory,
-            self._core,
+            patient,
+            frequent,
+            adoption.Adoption(catalogue, self._directory, self._core, clock),
             clock,
             random_source,
         )
-        self._driver.on_resume = self._follower.restart
+        self._driver.on_resume = self._following.restart
         self._leaving = asyncio.Event()
 
     @property
@@ -116,7 +122,7 @@
         )
         await endpoint.start()
         self._driver.start(loop)
-        following = asyncio.create_task(self._follower.run())
+        following = asyncio.create_task(self._following.run())
         _LOG.info('started')
         await self._leaving.wait()
         _LOG.info('leaving')
--- a/acaciamoor/platform/calls.py
+++ b/acaciamoor/platform/calls.py
@@ -31,7 +31,9 @@
 
     call: datetime.timedelta = datetime.timedelta(seconds=2)
     wait: datetime.timedelta = datetime.timedelta(seconds=10)
-    channel: channels.ChannelSettings = channels.ChannelSettings()
+    channel: channels.ChannelSettings = dataclasses.field(
+        default_factory=channels.ChannelSettings
+    )
 
 
 class CallTransport:
--- a/acaciamoor/platform/watching.py
+++ b/acaciamoor/platform/watching.py
@@ -30,6 +30,8 @@
         Waiting times after a connection has failed.
     sleep : Callable
         Waits.
+    known_names : iterable of str
+        Objects that the caller knows at `after_version`.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         after_version: int,
         backoff: backoffs.Backoff,
         sleep: backoffs.Sleep,
+        known_names: collections.abc.Iterable[str] = (),
     ) -> None:
         self._transport = transport
         self._kind = kind
@@ -46,7 +49,7 @@
         self._backoff = backoff
         self._sleep = sleep
         self._list_next = after_version == 0
-        self._known_names: set[str] = set()
+        self._known_names = set(known_names)
         self._failures = 0
 
     async def events(self) -> Events:
