Send hosts that know nothing the whole collection

Cause: hosts that restarted while the store was down stayed empty for 6 s. Peers answered with changes since version 0, which a host without any version cannot apply. The test fails without the change.

--- a/acaciamoor/replica/replica.py
+++ b/acaciamoor/replica/replica.py
@@ -107,8 +107,15 @@
         return accepted
 
     def since(self, version: int) -> Batch:
-        """Return what a host at `version` lacks."""
-        if self._log and self._log[0].base <= version <= self.version:
+        """Return what a host at `version` lacks.
+
+        Version 0 stands for a host that knows nothing yet.
+        """
+        if (
+            version
+            and self._log
+            and self._log[0].base <= version <= self.version
+        ):
             events_by_name = {
                 event.stored.name: event
                 for batch in self._log
