Write one log line for each decision about a flow, and serve metrics

Each line holds the flow, what decided and how old it was. Lines are limited a second, with a budget of their own for failures, and never wait for their reader: lost lines are counted and told. Metrics are counters and histograms in the Prometheus text format, written without OpenTelemetry's SDK, which takes 0.13 s of processor time to import.

The logs showed false suspicion: where packets of a flow pass another host after a change of the rotation, the repeated opening is silent as well. A second silence in a row accuses nobody any more (test).

--- /dev/null
+++ b/acaciamoor/directory/tests/builders.py
@@ -0,0 +1,69 @@
+"""Routes and upstreams for tests."""
+
+import datetime
+import zlib
+
+from acaciamoor import directory
+from acaciamoor import model
+
+ADDRESS = (0xC6120001, 443)
+SERVICE = 'order-desk'
+SECOND = datetime.timedelta(seconds=1)
+
+
+def listed(
+    name: str,
+    revision: int = 1,
+    *,
+    service: str = SERVICE,
+    data_centre: str = 'kgn-a',
+    draining: bool = False,
+    port: int = 8080,
+    slots: int = 2,
+) -> directory.ListedUpstream:
+    """Return an upstream's entry."""
+    state = (
+        model.UpstreamState.DRAINING
+        if draining
+        else model.UpstreamState.ACTIVE
+    )
+    return directory.ListedUpstream(
+        model.Upstream(
+            model.UpstreamId(name),
+            model.DataCentre(data_centre),
+            model.Address('127.0.0.1', port),
+            slots=slots,
+            state=state,
+        ),
+        service=service,
+        number=zlib.crc32(name.encode()) + 1,
+        revision=revision,
+    )
+
+
+def route(
+    address=ADDRESS,
+    services=(SERVICE,),
+    kind: directory.RequestKind = directory.RequestKind.IDEMPOTENT,
+) -> directory.Route:
+    """Return a route."""
+    return directory.Route(
+        'board', address, {service: 1.0 for service in services}, kind
+    )
+
+
+def table(version: int = 1, *routes: directory.Route) -> directory.RouteTable:
+    """Return the routes of a version; one route if none is given."""
+    return directory.RouteTable(
+        version, {item.address: item for item in routes or (route(),)}
+    )
+
+
+def filled(*upstreams: directory.ListedUpstream) -> directory.Directory:
+    """Return a directory with one route and the given upstreams."""
+    result = directory.Directory()
+    result.adopt_routes(table())
+    for upstream in upstreams:
+        result.put_upstream(upstream)
+    result.mark_listed(1)
+    return result
--- a/acaciamoor/forwarder/__init__.py
+++ b/acaciamoor/forwarder/__init__.py
@@ -6,6 +6,7 @@
 from acaciamoor.forwarder.effects import Dropped
 from acaciamoor.forwarder.effects import DropReason
 from acaciamoor.forwarder.effects import Forward
+from acaciamoor.forwarder.effects import Placed
 from acaciamoor.forwarder.effects import Refusal
 from acaciamoor.forwarder.effects import RefusalReason
 from acaciamoor.forwarder.packet import Packet
@@ -20,6 +21,7 @@
     'ForwarderCore',
     'Packet',
     'PacketCodec',
+    'Placed',
     'Refusal',
     'RefusalReason',
 ]
--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -8,6 +8,7 @@
 from acaciamoor import hashing
 from acaciamoor import model
 from acaciamoor import openings
+from acaciamoor import tokens
 from acaciamoor.forwarder import effects
 from acaciamoor.forwarder import packet as packets
 
@@ -75,6 +76,7 @@
         self.book = openings.LoadBook()
         self.evidence = openings.Evidence()
         self._activity = openings.FlowActivity(self.book)
+        self._notices: list[effects.Notice] = []
         self.placer = openings.OpeningPlacer(
             settings.data_centre, self.book, self.evidence, random_source
         )
@@ -102,16 +104,25 @@
         due = now - self._settings.repeat_after
         for opening in self._pending.older_than(due):
             self._pending.pop(opening.key)
-            self._note_silence(opening, now)
             if opening.repeated:
+                # Two silent upstreams in a row rather show that the caller is
+                # gone or that its packets pass another host now.
                 continue
+            self._note_silence(opening, now)
+            opening.repeated = True
             decision = self._send(opening, opening.packet, now)
-            if isinstance(decision, effects.Forward):
-                opening.repeated = True
+            if isinstance(decision, effects.Placed):
                 self._pending.put(opening)
                 decisions.append(decision)
         return decisions
 
+    def notices(self) -> list[effects.Notice]:
+        """Return what the host has learned since the last call."""
+        notices = self._notices
+        if notices:
+            self._notices = []
+        return notices
+
     def resume(self) -> None:
         """Forget openings after a pause: their callers went on alone."""
         self._pending.clear()
@@ -136,7 +147,7 @@
         else:
             self._note_silence(opening, now)
         decision = self._send(opening, data, now)
-        if isinstance(decision, effects.Forward):
+        if isinstance(decision, effects.Placed):
             self._pending.put(opening)
         return decision
 
@@ -157,31 +168,50 @@
         route = self._directory.route(opening.address)
         if route is None or opening.service not in route.weights_by_service:
             return _OUTDATED
+        candidates = self._candidates(opening, now)
         listed = self.placer.choose(
-            [
-                candidate
-                for candidate in self._directory.candidates(
-                    opening.service, now
-                )
-                if self._directory.token_of(
-                    opening.address, candidate.upstream_id
-                )
-            ],
-            route.kind,
-            opening.tried_ids,
-            now,
+            candidates, route.kind, opening.tried_ids, now
         )
         if listed is None:
             return _NO_UPSTREAM
         opening.tried_ids.append(listed.upstream_id)
         opening.at = now
-        token = self._directory.token_of(opening.address, listed.upstream_id)
+        return effects.Placed(
+            opening.key,
+            self._forward(opening.address, listed, data),
+            opening.service,
+            len(opening.tried_ids),
+            opening.repeated,
+            len(candidates),
+            sum(
+                self.evidence.suspects(item.upstream_id, now)
+                for item in candidates
+            ),
+        )
+
+    def _candidates(
+        self, opening: openings.Opening, now: datetime.timedelta
+    ) -> list[directories.ListedUpstream]:
+        token_of = self._directory.token_of
+        return [
+            listed
+            for listed in self._directory.candidates(opening.service, now)
+            if token_of(opening.address, listed.upstream_id)
+        ]
+
+    def _forward(
+        self,
+        address: tokens.ServiceAddress,
+        listed: directories.ListedUpstream,
+        data: bytes,
+    ) -> effects.Forward:
+        token = self._directory.token_of(address, listed.upstream_id)
         return effects.Forward(
             data,
             listed.upstream_id,
             listed.upstream.address.as_tuple(),
             listed.number,
-            token or 0,
+            token or tokens.NO_TOKEN,
         )
 
     def _follow(
@@ -194,8 +224,9 @@
         if self._directory.route(key[2:]) is None:
             return _NO_ROUTE
         upstream_id = listed.upstream_id
-        if self._pending.pop(key) is not None:
-            self.evidence.note_answer(upstream_id)
+        opening = self._pending.pop(key)
+        if opening is not None:
+            self._note_answer(opening, upstream_id, now)
         if packet.ends:
             self._activity.note_end(key, now)
         else:
@@ -215,11 +246,29 @@
             packet.token,
         )
 
+    def _note_answer(
+        self,
+        opening: openings.Opening,
+        upstream_id: model.UpstreamId,
+        now: datetime.timedelta,
+    ) -> None:
+        self._notices.append(
+            effects.Opened(upstream_id, now - opening.first_at)
+        )
+        if self.evidence.note_answer(upstream_id):
+            self._notices.append(effects.Cleared(upstream_id, opening.key))
+
     def _note_silence(
         self, opening: openings.Opening, now: datetime.timedelta
     ) -> None:
-        if now - opening.at < self._settings.opening_lifetime:
-            self.evidence.note_silence(opening.tried_ids[-1], now)
+        silence = now - opening.at
+        if silence >= self._settings.opening_lifetime:
+            return
+        upstream_id = opening.tried_ids[-1]
+        if self.evidence.note_silence(upstream_id, now):
+            self._notices.append(
+                effects.Suspected(upstream_id, opening.key, silence)
+            )
 
 
 def _choose_service(
--- a/acaciamoor/forwarder/effects.py
+++ b/acaciamoor/forwarder/effects.py
@@ -1,6 +1,7 @@
 """What a host does with a packet."""
 
 import dataclasses
+import datetime
 import enum
 import typing
 
@@ -24,7 +25,6 @@
     """Why a flow is refused."""
 
     NO_ROUTE = 'no_route'
-    NO_UPSTREAM = 'no_upstream'
 
 
 class Forward(typing.NamedTuple):
@@ -51,6 +51,36 @@
     token: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """Send an opening packet to the upstream that was chosen for it.
+
+    Parameters
+    ----------
+    key : FlowKey
+        The flow.
+    forward : Forward
+        What to send.
+    service : str
+        Service of the flow.
+    attempt : int
+        1 for the first upstream of the flow.
+    repeated : bool
+        Whether the host repeats the packet on its own.
+    candidates, suspects : int
+        Upstreams that took new flows, and how many of them did not answer
+        lately.
+    """
+
+    key: pending.FlowKey
+    forward: Forward
+    service: str
+    attempt: int
+    repeated: bool
+    candidates: int
+    suspects: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
     """Tell a caller at once that its flow cannot be opened."""
@@ -66,4 +96,32 @@
     reason: DropReason
 
 
-Decision = Forward | Refusal | Dropped
+Decision = Forward | Placed | Refusal | Dropped
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspected:
+    """An upstream did not answer an opening and is avoided."""
+
+    upstream_id: model.UpstreamId
+    key: pending.FlowKey
+    silence: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cleared:
+    """A suspected upstream has answered."""
+
+    upstream_id: model.UpstreamId
+    key: pending.FlowKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """The first packet after an opening has passed."""
+
+    upstream_id: model.UpstreamId
+    after: datetime.timedelta
+
+
+Notice = Suspected | Cleared | Opened
--- a/acaciamoor/forwarder/shell/driver.py
+++ b/acaciamoor/forwarder/shell/driver.py
@@ -1,7 +1,6 @@
 """Feeds the core with packets and sends what it decides."""
 
 import asyncio
-import collections
 import datetime
 import functools
 import logging
@@ -11,6 +10,8 @@
 from acaciamoor.forwarder import core as cores
 from acaciamoor.forwarder import effects
 from acaciamoor.forwarder import packet as packets
+from acaciamoor.forwarder.shell import observer as observers
+from acaciamoor.openings import pending
 
 _LOG = logging.getLogger(__name__)
 _DAMAGED = effects.Dropped(effects.DropReason.DAMAGED)
@@ -32,6 +33,8 @@
         Wire form of packets.
     socket : DatagramSocket
         Receives from callers; sends to upstreams and callers.
+    observer : Observer
+        Told of all decisions.
     clock : Clock
         Source of time.
     pause : datetime.timedelta
@@ -43,12 +46,14 @@
         core: cores.ForwarderCore,
         codec: packets.PacketCodec,
         socket: sockets.DatagramSocket,
+        observer: observers.Observer,
         clock: clocks.Clock,
         pause: datetime.timedelta,
     ) -> None:
         self._core = core
         self._codec = codec
         self._socket = socket
+        self._observer = observer
         self._clock = clock
         self._pause = pause
         self._seen = clock.monotonic()
@@ -56,9 +61,6 @@
         self._timer: asyncio.TimerHandle | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
         self.on_resume = lambda: None
-        self.counts_by_outcome: collections.Counter[str] = (
-            collections.Counter()
-        )
 
     def start(self, loop: asyncio.AbstractEventLoop) -> None:
         """Read the socket from now on."""
@@ -83,7 +85,9 @@
                 decision = _OUTDATED
             else:
                 decision = handle(data, packet, now)
-            self._carry_out(decision)
+            self._carry_out(decision, packet)
+        for notice in self._core.notices():
+            self._observer.note(notice)
         self._arm_timer(now)
 
     def _look_at_clock(self) -> tuple[datetime.timedelta, bool]:
@@ -96,36 +100,43 @@
             self.on_resume()
         return now, paused
 
-    def _carry_out(self, decision: effects.Decision) -> None:
+    def _carry_out(
+        self, decision: effects.Decision, packet: packets.Packet | None
+    ) -> None:
         if type(decision) is effects.Forward:
-            data = self._codec.encode(
-                decision.data, decision.token, decision.number
-            )
-            self._send(data, decision.address)
-            self.counts_by_outcome['forwarded'] += 1
+            self._observer.packets.add(outcome='forwarded')
+            self.forward(decision)
         else:
-            self._decline(decision)
+            _carry_out(decision, self, None if packet is None else packet.key)
+
+    def forward(self, forward: effects.Forward) -> None:
+        """Send a packet to its upstream."""
+        data = self._codec.encode(forward.data, forward.token, forward.number)
+        self._send(data, forward.address)
 
-    def _decline(self, decision: effects.Decision) -> None:
-        _decline(decision, self)
+    def place(self, placed: effects.Placed) -> None:
+        """Send an opening packet."""
+        self.forward(placed.forward)
+        self._observer.note_placed(placed)
 
     def refuse(self, refusal: effects.Refusal) -> None:
         """Send a reset for a flow that was never open."""
-        self.counts_by_outcome[f'refused_{refusal.reason.value}'] += 1
         data = self._codec.encode_reset(refusal.key, 0)
         self._send(data, self._codec.caller_address(refusal.key))
+        self._observer.note_refusal(refusal)
 
-    def drop(self, dropped: effects.Dropped) -> None:
-        """Count a packet that goes nowhere."""
-        self.counts_by_outcome[f'dropped_{dropped.reason.value}'] += 1
+    def drop(
+        self, dropped: effects.Dropped, key: pending.FlowKey | None
+    ) -> None:
+        """Note a packet that goes nowhere."""
+        self._observer.note_dropped(dropped, key)
 
     def _send(self, data: bytes, address: sockets.SocketAddress) -> None:
         try:
             self._socket.send(data, address)
         except OSError as error:
             # A full buffer loses the datagram, as the network may.
-            self.counts_by_outcome['unsent'] += 1
-            _LOG.debug('datagram not sent: %r', error)
+            self._observer.unsent.add(error=type(error).__name__)
 
     def _arm_timer(self, now: datetime.timedelta) -> None:
         if self._timer is not None or self._loop is None:
@@ -140,7 +151,9 @@
         now, paused = self._look_at_clock()
         if not paused:
             for decision in self._core.repeat(now):
-                self._carry_out(decision)
+                self._carry_out(decision, None)
+            for notice in self._core.notices():
+                self._observer.note(notice)
         self._arm_timer(now)
 
     def _tick(self) -> None:
@@ -148,20 +161,34 @@
         if now >= self._expire_at:
             self._expire_at = now + _EXPIRY_INTERVAL
             self._core.expire(now)
+        self._observer.tick()
         if self._loop is not None:
             self._loop.call_later(_TICK.total_seconds(), self._tick)
 
 
 @functools.singledispatch
-def _decline(decision: effects.Decision, driver: Driver) -> None:
+def _carry_out(
+    decision: effects.Decision, driver: Driver, key: pending.FlowKey | None
+) -> None:
     raise TypeError(f'unknown decision {decision!r}')
 
 
-@_decline.register
-def _decline_refusal(decision: effects.Refusal, driver: Driver) -> None:
+@_carry_out.register
+def _place(
+    decision: effects.Placed, driver: Driver, key: pending.FlowKey | None
+) -> None:
+    driver.place(decision)
+
+
+@_carry_out.register
+def _refuse(
+    decision: effects.Refusal, driver: Driver, key: pending.FlowKey | None
+) -> None:
     driver.refuse(decision)
 
 
-@_decline.register
-def _decline_dropped(decision: effects.Dropped, driver: Driver) -> None:
-    driver.drop(decision)
+@_carry_out.register
+def _drop(
+    decision: effects.Dropped, driver: Driver, key: pending.FlowKey | None
+) -> None:
+    driver.drop(decision, key)
--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -150,6 +150,22 @@
         self._watches_by_kind.clear()
         self._links_by_peer.clear()
 
+    def age(self) -> datetime.timedelta | None:
+        """Return the age of the older collection; None if one is unknown."""
+        now = self._clock.monotonic()
+        ages = [item.age(now) for item in self._replicas_by_kind.values()]
+        return None if None in ages else max(ages)
+
+    @property
+    def relaying(self) -> bool:
+        """Whether this host watches the store for others."""
+        return self._relaying
+
+    @property
+    def listeners(self) -> int:
+        """Number of hosts that listen to this one."""
+        return self._server.listeners
+
     async def _start(self, replica: replicas.Replica) -> None:
         # A listing that is seconds old costs a tenth. The first call for
         # changes leads from its version to the newest one.
--- a/acaciamoor/openings/pending.py
+++ b/acaciamoor/openings/pending.py
@@ -30,6 +30,8 @@
         Service that was chosen for the flow.
     repeated : bool
         Whether this host has repeated the packet on its own.
+    first_at : datetime.timedelta
+        When it was sent first.
     """
 
     key: FlowKey
@@ -38,6 +40,10 @@
     service: str
     tried_ids: list[model.UpstreamId]
     repeated: bool = False
+    first_at: datetime.timedelta = datetime.timedelta(0)
+
+    def __post_init__(self) -> None:
+        self.first_at = self.at
 
     @property
     def address(self) -> tokens.ServiceAddress:
--- a/acaciamoor/openings/requests.py
+++ b/acaciamoor/openings/requests.py
@@ -29,7 +29,7 @@
         self.acknowledged = acknowledged
         self.busy = False
         self.seen = datetime.timedelta(0)
-        self.sent_to = 0
+        self.sent_to: int | None = None
 
 
 class FlowActivity:
@@ -89,13 +89,9 @@
         if flow.busy and answered:
             flow.busy = False
             self._book.end(upstream_id, now)
-        if length:
-            end = (sequence + length) & _SEQUENCE_MASK
-            fresh = (end - flow.sent_to) & _SEQUENCE_MASK < _HALF_SEQUENCE
-            flow.sent_to = end if fresh else flow.sent_to
-            if fresh and not flow.busy:
-                flow.busy = True
-                self._book.begin(upstream_id, now)
+        if length and _advance(flow, sequence + length) and not flow.busy:
+            flow.busy = True
+            self._book.begin(upstream_id, now)
         return flow
 
     def note_end(self, key: pending.FlowKey, now: datetime.timedelta) -> None:
@@ -130,3 +126,14 @@
         flow = Flow(upstream_id, acknowledged)
         self._flows_by_key[key] = flow
         return flow
+
+
+def _advance(flow: Flow, end: int) -> bool:
+    """Note the end of a packet's data; False if it was seen before."""
+    end &= _SEQUENCE_MASK
+    if flow.sent_to is not None:
+        step = (end - flow.sent_to) & _SEQUENCE_MASK
+        if not 0 < step < _HALF_SEQUENCE:
+            return False
+    flow.sent_to = end
+    return True
--- a/acaciamoor/telemetry/logs.py
+++ b/acaciamoor/telemetry/logs.py
@@ -12,7 +12,20 @@
 from acaciamoor.telemetry import flags
 
 # Attributes that a call may pass with ``extra``.
-_RECORD_FIELDS = ('service', 'flow', 'upstream', 'version')
+_RECORD_FIELDS = (
+    'service',
+    'flow',
+    'upstream',
+    'version',
+    'reason',
+    'attempt',
+    'candidates',
+    'suspects',
+    'silence_ms',
+    'routes_version',
+    'upstreams_version',
+    'age_ms',
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
