Drop listeners whose connection is closed before their task ends

Cause: a relay that wrote to a listener's closed connection got an error of the event loop, which ended its following task; the process went on with lists that grew old. Calls on idle connections that the platform closed had the same fault.

--- a/acaciamoor/forwarder/shell/endpoint.py
+++ b/acaciamoor/forwarder/shell/endpoint.py
@@ -48,6 +48,9 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
 
+    def connection_lost(self, error: Exception | None) -> None:
+        self._transport = None
+
     def data_received(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
@@ -66,7 +69,7 @@
         self._answer(_NOT_FOUND if page is None else page())
 
     def _answer(self, reply: Reply) -> None:
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.write(reply.encode())
 
 
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -90,11 +90,20 @@
     def _send_all(self, message: replicas.Message) -> None:
         frame = self._codec.encode(message)
         for name, writer in list(self._writers_by_name.items()):
-            if writer.transport.get_write_buffer_size() > _BACKLOG_BYTES:
-                _LOG.warning('host %s does not read; disconnected', name)
-                self._drop(name, writer)
-            else:
-                writer.write(frame)
+            self._send(name, writer, frame)
+
+    def _send(
+        self, name: str, writer: asyncio.StreamWriter, frame: bytes
+    ) -> None:
+        # A connection that broke is closed before its task ends here, and a
+        # closed transport takes no calls.
+        if writer.is_closing():
+            self._drop(name, writer)
+        elif writer.transport.get_write_buffer_size() > _BACKLOG_BYTES:
+            _LOG.warning('host %s does not read; disconnected', name)
+            self._drop(name, writer)
+        else:
+            writer.write(frame)
 
     def _drop(self, name: str, writer: asyncio.StreamWriter) -> None:
         if self._writers_by_name.get(name) is writer:
@@ -134,7 +143,7 @@
     ) -> None:
         now = self._clock.monotonic()
         for kind, replica in self._replicas_by_kind.items():
-            if replica.known:
+            if replica.known and not writer.is_closing():
                 batch = replica.since(hello.versions_by_kind.get(kind, 0))
                 update = replicas.Update.of(kind, batch, replica.age(now))
                 writer.write(self._codec.encode(update))
--- a/acaciamoor/platform/channel.py
+++ b/acaciamoor/platform/channel.py
@@ -122,7 +122,13 @@
             If the connection breaks, the answer takes longer than `limit` or
             is not HTTP. The call may have taken effect.
         """
-        if self._reader is None or self._writer is None:
+        # A closed transport takes no calls, so an idle connection that the
+        # platform has closed must be noticed before the write.
+        if (
+            self._reader is None
+            or self._writer is None
+            or self._writer.is_closing()
+        ):
             raise ConnectionError('the channel is not connected')
         async with asyncio.timeout(limit.total_seconds()):
             self._writer.write(request)
