End waiting calls within the time of recovery

A call that waited 10 s was sent before the store fell silent and was never answered. Ruled out: keep-alive probes, which the silent store's machine answers.

Waiting calls now take 0.6 of the time in which a host must have recovered, and 0.8 s more for their answer; a call that timed out is repeated soon, one that was refused after up to 2.4 s. Removed upstreams are kept for the longest life of a flow that the settings name.

--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -16,14 +16,19 @@
 from acaciamoor.forwarder.shell import adoption as adoptions
 from acaciamoor.forwarder.shell import relay_link
 from acaciamoor.forwarder.shell import relay_server
+from acaciamoor.platform import calls
 from acaciamoor.platform import watching
 
 _LOG = logging.getLogger(__name__)
 # Bounds of the wait between two calls for changes. The first one collects
-# changes that come close together into one answer; the second keeps hosts
-# within the bounds of a change after the store is back.
+# changes that come close together into one answer. The second one, which
+# applies while the store refuses calls, keeps hosts within the 4 s after its
+# return in which they must be up to date again.
 FIRST_WAIT = datetime.timedelta(milliseconds=400)
-LONGEST_WAIT = datetime.timedelta(seconds=1)
+LONGEST_WAIT = datetime.timedelta(milliseconds=2400)
+# Time for an answer beyond the time that a call asks to wait. A slow store
+# takes 0.3 s.
+CALL_LIMIT = datetime.timedelta(milliseconds=800)
 # Time between messages to listeners while nothing changes.
 BEAT_INTERVAL = datetime.timedelta(milliseconds=400)
 # Time between two looks at which sources are needed.
@@ -34,12 +39,18 @@
 # its entry only when it becomes a relay itself.
 FIRST_HOSTS_INTERVAL = datetime.timedelta(seconds=1)
 HOSTS_INTERVAL = datetime.timedelta(seconds=20)
+# Time after which a failed read of the host list is repeated.
+HOSTS_RETRY = datetime.timedelta(seconds=3)
 # Share of the bound of a change after which a host does not rely on its
 # relays any more; the rest is left for its own call to the store.
 _AGE_SHARE = 0.65
 # Share of the bound for which a relay waits for changes in one call. With the
 # waits above it keeps the age at a listener below the share above.
 _WAIT_SHARE = 0.27
+# Share of the time of recovery for which a call waits for changes. A store
+# that was silent does not answer calls of before; they must have ended, and
+# their successors been answered, within that time.
+_PATIENCE_SHARE = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,11 +65,15 @@
         Hosts to ask while the host list cannot be read.
     change_bound : datetime.timedelta
         Time within which a change must be in force.
+    recovery_bound : datetime.timedelta
+        Time after the return of the store, or of the path to it, from which
+        on a host must be up to date.
     """
 
     own: replicas.Peer
     seeds: tuple[model.Address, ...]
     change_bound: datetime.timedelta
+    recovery_bound: datetime.timedelta
 
     @property
     def age_limit(self) -> datetime.timedelta:
@@ -66,9 +81,16 @@
         return self.change_bound * _AGE_SHARE
 
     @property
-    def relay_wait(self) -> datetime.timedelta:
-        """Time for which a call of a relay waits for changes."""
-        return self.change_bound * _WAIT_SHARE
+    def patient_calls(self) -> calls.CallSettings:
+        """Limits for calls of hosts that watch for themselves alone."""
+        return calls.CallSettings(
+            CALL_LIMIT, self.recovery_bound * _PATIENCE_SHARE
+        )
+
+    @property
+    def frequent_calls(self) -> calls.CallSettings:
+        """Limits for calls of relays."""
+        return calls.CallSettings(CALL_LIMIT, self.change_bound * _WAIT_SHARE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,8 +109,8 @@
     catalogue : Catalogue
         Kinds of the objects.
     patient, frequent : Transport
-        Calls to the store that wait long for changes, and those of a relay,
-        which wait `FollowingSettings.relay_wait`.
+        Calls to the store with the limits `FollowingSettings.patient_calls`
+        and `FollowingSettings.frequent_calls`.
     adoption : Adoption
         Puts changes in force.
     clock : Clock
@@ -345,7 +367,7 @@
                 self._take_hosts(listing)
             except platform.StoreError as error:
                 _LOG.info('host list: %r', error)
-                await asyncio.sleep(LONGEST_WAIT.total_seconds())
+                await asyncio.sleep(HOSTS_RETRY.total_seconds())
                 continue
             jitter = 0.5 + self._random.random()
             await asyncio.sleep(interval.total_seconds() * jitter)
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -49,11 +49,14 @@
     leave_after : datetime.timedelta
         Time for which a host that was told to end goes on forwarding. The
         fabric notices after two checks that are 0.5 s apart.
+    directory : DirectorySettings
+        How long removed upstreams are kept.
     following : FollowingSettings
         How routes and upstreams are followed.
     """
 
     core: cores.CoreSettings
+    directory: directories.DirectorySettings
     following: followings.FollowingSettings
     listen: model.Address
     readiness_address: model.Address
@@ -92,7 +95,7 @@
         random_source: random.Random,
     ) -> None:
         self._settings = settings
-        self._directory = directories.Directory()
+        self._directory = directories.Directory(settings.directory)
         self._core = cores.ForwarderCore(
             settings.core, self._directory, random_source
         )
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -122,6 +122,10 @@
             await reader.read(1)
         except (OSError, EOFError, replicas.MessageError) as error:
             _LOG.info('listener %s has left: %r', name or 'unknown', error)
+        except asyncio.CancelledError:
+            # The process ends. Python 3.11 logs an error for a connection
+            # whose task ends as cancelled.
+            _LOG.debug('listener %s is disconnected at the end', name)
         finally:
             self._drop(name, writer)
 
--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -89,7 +89,7 @@
         task.cancel()
 
     async def test_stranger_is_disconnected(self):
-        """Guards against bytes of strangers that take up a listener's place."""
+        """Guards against strangers that take up a listener's place."""
         reader, writer = await asyncio.open_connection(
             self.address.ip, self.address.port
         )
--- a/acaciamoor/platform/__init__.py
+++ b/acaciamoor/platform/__init__.py
@@ -13,6 +13,7 @@
 from acaciamoor.platform.errors import RateLimited
 from acaciamoor.platform.errors import Rejected
 from acaciamoor.platform.errors import StoreError
+from acaciamoor.platform.errors import TimedOut
 from acaciamoor.platform.errors import Unavailable
 from acaciamoor.platform.errors import VersionExpired
 from acaciamoor.platform.objects import Change
@@ -56,6 +57,7 @@
     'Rejected',
     'StoreError',
     'StoredObject',
+    'TimedOut',
     'Timeouts',
     'Transport',
     'Unavailable',
--- a/acaciamoor/platform/backoff.py
+++ b/acaciamoor/platform/backoff.py
@@ -57,6 +57,10 @@
         self._bound = min(2 * bound, self._limit)
         return self._random.random() * bound
 
+    def first_wait(self) -> datetime.timedelta:
+        """Return a waiting time that does not grow."""
+        return self._random.random() * self._first
+
     def reset(self) -> None:
         """Start again with the first wait, after a success."""
         self._bound = self._first
@@ -75,3 +79,11 @@
     error: errors.RateLimited, backoff: Backoff
 ) -> datetime.timedelta:
     return max(backoff.next_wait(), error.retry_after)
+
+
+@wait_after.register(errors.TimedOut)
+def _wait_after_timeout(
+    error: errors.TimedOut, backoff: Backoff
+) -> datetime.timedelta:
+    # The call itself has taken the time that a longer wait would spread.
+    return backoff.first_wait()
--- a/acaciamoor/platform/calls.py
+++ b/acaciamoor/platform/calls.py
@@ -30,7 +30,7 @@
     """
 
     call: datetime.timedelta = datetime.timedelta(seconds=2)
-    wait: datetime.timedelta = datetime.timedelta(seconds=10)
+    wait: datetime.timedelta = datetime.timedelta(seconds=2)
     channel: channels.ChannelSettings = dataclasses.field(
         default_factory=channels.ChannelSettings
     )
@@ -183,6 +183,11 @@
     ) -> channels.Answer:
         try:
             return await channel.call(self._encode(call), limit)
+        except TimeoutError as error:
+            channel.close()
+            if failure is errors.Unavailable:
+                failure = errors.TimedOut
+            raise failure(f'{call.name}: no answer in {limit}') from error
         except OSError as error:
             channel.close()
             raise failure(f'{call.name}: {error!r}') from error
--- a/acaciamoor/platform/errors.py
+++ b/acaciamoor/platform/errors.py
@@ -61,6 +61,10 @@
     """The platform cannot be reached; the call certainly had no effect."""
 
 
+class TimedOut(Unavailable):
+    """A call without effect got no answer in time."""
+
+
 class OutcomeUnknown(StoreError):
     """The reply was lost; the write may have taken effect."""
 
