--- /dev/null
+++ b/acaciamoor/explain/tests/test_story.py
@@ -0,0 +1,85 @@
+"""The story of a failed request from logs alone."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+from acaciamoor import explain
+from acaciamoor.explain import main
+
+FLOW = '100.64.0.7:40001>198.18.0.1:443'
+
+
+def line(second: float, host: str, message: str, **fields) -> str:
+    """Return a log line behind what a collector puts in front."""
+    time = f'2026-01-01T00:00:{second:06.3f}+00:00'
+    body = {'time': time, 'host': host, 'message': message, **fields}
+    return f'  {second} {host} {json.dumps(body)}'
+
+
+LINES = [
+    line(9, 'h-2', 'upstream is draining, told by store', upstream='desk-1'),
+    line(1, 'h-1', 'flow placed', flow=FLOW, upstream='desk-1', attempt=1),
+    line(2, 'h-1', 'flow placed', flow='1.2.3.4:5>6.7.8.9:10'),
+    line(3, 'h-1', 'leaving'),
+    line(4, 'h-2', 'packet dropped', flow=FLOW, reason='unknown_token'),
+    line(8.5, 'h-1', 'started'),
+    line(30, 'h-1', 'leaving'),
+    'bytes that are no log line {',
+]
+
+
+class StoryTest(unittest.TestCase):
+    def test_hosts_are_told_in_order(self):
+        """Guards against a story that mixes up cause and effect."""
+        parsed = [explain.parse_line(text) for text in LINES]
+        story = explain.Story(
+            [item for item in parsed if item is not None], FLOW
+        )
+        self.assertEqual(
+            [
+                'flow placed',
+                'leaving',
+                'packet dropped',
+                'started',
+                'upstream is draining, told by store',
+            ],
+            [item.message for item in story.lines],
+        )
+
+    def run_program(self, *arguments):
+        """Return the exit code and the output of the program."""
+        output = io.StringIO()
+        with (
+            mock.patch('sys.argv', ['acaciamoor-explain', *arguments]),
+            contextlib.redirect_stdout(output),
+            contextlib.redirect_stderr(output),
+        ):
+            return main.main(), output.getvalue()
+
+    def test_caller_selects_its_flows(self):
+        """Guards against a caller's address that finds nothing."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'log'
+            path.write_text('\n'.join(LINES), encoding='utf-8')
+            code, text = self.run_program(
+                '100.64.0.7:40001', '--log', path.as_posix()
+            )
+            self.assertEqual(0, code)
+            self.assertIn('reason=unknown_token', text)
+            code, _ = self.run_program('1.1.1.1:1', '--log', path.as_posix())
+            self.assertEqual(3, code)
+
+    def test_missing_file_is_told(self):
+        """Guards against an empty story of a file that was not read."""
+        code, text = self.run_program('a', '--log', '/nonexistent/log')
+        self.assertEqual(1, code)
+        self.assertIn('/nonexistent/log', text)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -1,6 +1,7 @@
 """A forwarder as a process."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import datetime
 import http
@@ -82,6 +83,8 @@
         Source of time.
     random_source : random.Random
         Breaks ties and spreads calls.
+    on_reload : callable
+        Called on SIGHUP.
     """
 
     def __init__(
@@ -93,8 +96,10 @@
         catalogue: catalogues.Catalogue,
         clock: clocks.Clock,
         random_source: random.Random,
+        on_reload: collections.abc.Callable[[], None],
     ) -> None:
         self._settings = settings
+        self._on_reload = on_reload
         self._directory = directories.Directory(settings.directory)
         self._core = cores.ForwarderCore(
             settings.core, self._directory, random_source
@@ -132,7 +137,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._leaving.set)
-        loop.add_signal_handler(signal.SIGHUP, _LOG.info, 'settings read')
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         served = self._endpoints()
         for endpoint in served:
             await endpoint.start()
--- a/acaciamoor/forwarder/tests/test_following.py
+++ b/acaciamoor/forwarder/tests/test_following.py
@@ -134,7 +134,7 @@
         self.assertIn(str(address), second.names_by_source)
 
     async def test_host_whose_seeds_are_down_goes_on_asking(self):
-        """Guards against a task that ends with the first refused connection."""
+        """Guards against a task that ends with a refused connection."""
         store = Store()
         store.down = True
         adoption, _ = self.start(store, [test_relay.free_address()])
--- a/acaciamoor/load/capacity/main.py
+++ b/acaciamoor/load/capacity/main.py
@@ -12,6 +12,7 @@
 import acaciamoor.balancer.main as balancer_main
 from acaciamoor.load import slopes
 from acaciamoor.load.capacity import control
+from acaciamoor.load.capacity import forwarders
 from acaciamoor.load.capacity import roles
 from acaciamoor.load.capacity import streams
 from acaciamoor.load.capacity import work
@@ -27,6 +28,10 @@
     streams.lookup_slopes,
     work.placer_slopes,
     work.ledger_slopes,
+    forwarders.packet_slopes,
+    forwarders.opening_slopes,
+    forwarders.knowledge_slopes,
+    forwarders.relay_slopes,
 )
 SEED = settings.Flag('seed', settings.integer(0), 7, 'Seed of all choices.')
 OUTPUT = settings.Flag(
