--- a/acaciamoor/explain/main.py
+++ b/acaciamoor/explain/main.py
@@ -2,6 +2,7 @@
 
 import datetime
 import itertools
+import os
 import pathlib
 import sys
 
@@ -58,8 +59,13 @@
         print(f'acaciamoor-explain: {error}', file=sys.stderr)
         return settings.ExitCode.FAILURE
     found = story.Story(lines, given[SUBJECT], given[MARGIN]).lines
-    for line in found:
-        print(line)
+    try:
+        for line in found:
+            print(line)
+    except BrokenPipeError:
+        # The reader, for example a pager, has seen enough. The rest of the
+        # output must not fail again when the program ends.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
     return settings.ExitCode.SUCCESS if found else settings.ExitCode.REFUSED
 
 
