--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 acaciamoor platform tools
+	$(BIN)/flake8 acaciamoor deploy platform tools
 
 unit: $(STAMP)
 	$(BIN)/python -m tools.run_tests
--- a/acaciamoor/tests/test_core_imports.py
+++ b/acaciamoor/tests/test_core_imports.py
@@ -2,25 +2,49 @@
 
 import ast
 import pathlib
+import subprocess
+import sys
 import unittest
 
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent
 PURE_PACKAGES = (
     'balancer/core',
     'configuration',
+    'directory',
     'findings',
     'flows',
     'hashing',
     'membership',
     'model',
+    'openings',
     'placement',
+    'replica',
     'requests',
+    'tokens',
     'views',
 )
+PURE_MODULES = (
+    'forwarder/core.py',
+    'forwarder/effects.py',
+    'forwarder/knowledge.py',
+    'forwarder/packet.py',
+)
 FORBIDDEN = frozenset(
     ['aiohttp', 'asyncio', 'grpc', 'selectors', 'socket', 'threading', 'time']
 )
 
+HEAVY = frozenset(
+    [
+        'aiohttp',
+        'grpc',
+        'numpy',
+        'opentelemetry',
+        'prometheus_client',
+        'pydantic',
+        'reactivex',
+    ]
+)
+
 
 def imported_modules(path: pathlib.Path) -> set[str]:
     """Return the top-level names of all modules that `path` imports."""
@@ -36,7 +60,28 @@
 class CoreImportsTest(unittest.TestCase):
     def test_decision_core_imports_no_input_or_output(self):
         """Guards against a decision that depends on real time or sockets."""
+        paths = [PACKAGE / module for module in PURE_MODULES]
         for package in PURE_PACKAGES:
-            for path in sorted((PACKAGE / package).rglob('*.py')):
-                with self.subTest(path=str(path.relative_to(PACKAGE))):
-                    self.assertEqual(set(), imported_modules(path) & FORBIDDEN)
+            paths.extend(sorted((PACKAGE / package).rglob('*.py')))
+        for path in paths:
+            with self.subTest(path=str(path.relative_to(PACKAGE))):
+                self.assertEqual(set(), imported_modules(path) & FORBIDDEN)
+
+    def test_forwarder_starts_without_heavy_libraries(self):
+        """Guards against imports that delay hosts which start in numbers."""
+        program = (
+            'import sys\n'
+            'import acaciamoor.forwarder.shell\n'
+            'import acaciamoor.platform.calls\n'
+            'print(*sys.modules)'
+        )
+        ended = subprocess.run(
+            [sys.executable, '-c', program],
+            cwd=PACKAGE.parent,
+            capture_output=True,
+            text=True,
+            check=True,
+            timeout=60,
+        )
+        loaded = set(ended.stdout.split())
+        self.assertEqual(set(), loaded & HEAVY)
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,6 +8,5 @@
         --target "$deps" -r deploy/requirements.txt
     cp deploy/requirements.txt target/requirements.installed
 fi
-rm -rf "$deps/acaciamoor" "$deps/acaciamoor_site"
-cp -r acaciamoor platform/acaciamoor_site "$deps/"
+python3 deploy/stage.py "$deps"
 python3 -m compileall -q "$deps/acaciamoor" "$deps/acaciamoor_site"
