--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,12 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.requirements
 
-.PHONY: demo test lint unit fuzz bench capacity format generate
+.PHONY: demo test lint unit fuzz soak bench capacity format generate
+
+SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 20
+SIZE ?= 4
 
 $(STAMP): requirements.txt requirements-dev.txt constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -24,6 +29,10 @@
 fuzz: $(STAMP)
 	ACACIAMOOR_FUZZ_PROFILE=long $(BIN)/python -m tools.run_tests --pattern 'test_fuzz*.py'
 
+soak: $(STAMP)
+	PYTHONPATH=.:platform $(BIN)/python -m acaciamoor_site.soak \
+		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --size $(SIZE)
+
 demo: $(STAMP)
 	$(BIN)/python -m acaciamoor.demo
 
