Wait once and not twice after a cut from the store

A connection that timed out counted as refused, with a wait of up to 2.4 s; the answer that its history was gone then added another wait of that size. Ruled out: a call that hangs (it ends after 3.2 s).

A connection that times out is now repeated after 0.4 s at most, and an answer ends the waits of an outage. Both tests fail without the change.

--- a/acaciamoor/platform/calls.py
+++ b/acaciamoor/platform/calls.py
@@ -169,6 +169,9 @@
         channel = channels.Channel(self._address, self._settings.channel)
         try:
             await channel.connect()
+        except TimeoutError as error:
+            channel.close()
+            raise errors.TimedOut('no connection in time') from error
         except OSError as error:
             channel.close()
             raise errors.Unavailable(f'connect: {error!r}') from error
--- a/acaciamoor/platform/tests/test_calls.py
+++ b/acaciamoor/platform/tests/test_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import unittest
+from unittest import mock
 
 import uvloop
 
@@ -77,6 +78,17 @@
         with self.assertRaises(platform.OutcomeUnknown):
             await transport.write(write)
 
+    async def test_path_that_is_cut(self):
+        """Guards against a long wait behind a connection that timed out."""
+        with mock.patch.object(
+            asyncio, 'open_connection', side_effect=TimeoutError
+        ):
+            transport = calls.CallTransport(
+                model.Address('127.0.0.1', 1), PlainDialect()
+            )
+            with self.assertRaises(platform.TimedOut):
+                await transport.read('desk', 'a')
+
     async def test_refusals_say_that_nothing_was_done(self):
         """Guards against a write that counts as done though it was refused."""
         for status, expected in (
--- a/acaciamoor/platform/tests/test_store.py
+++ b/acaciamoor/platform/tests/test_store.py
@@ -1,5 +1,6 @@
 """Lost replies and resumed watches."""
 
+import datetime
 import itertools
 import random
 import unittest
@@ -88,6 +89,9 @@
             await store.update(KIND, 'desk', {'a': 2}, first.version)
 
 
+SECOND = datetime.timedelta(seconds=1)
+
+
 class StaleTransport:
     """Replays streams and listings, then ends the test's watch."""
 
@@ -148,3 +152,43 @@
         )
         versions = await self.watched(transport, 3, 3)
         self.assertEqual([7, 9, 9], versions)
+
+    async def waits(self, *answers) -> list[float]:
+        """Return the waits of a watch, in seconds, until it delivers."""
+        waits = []
+
+        async def sleep(duration):
+            waits.append(duration.total_seconds())
+
+        watch = watching.ResumingWatch(
+            StaleTransport(*answers),
+            KIND,
+            3,
+            backoff.Backoff(FullJitter(), SECOND, 8 * SECOND),
+            sleep,
+        )
+        async for _ in watch.events():
+            return waits
+
+    async def test_history_that_is_gone_is_listed_soon(self):
+        """Guards against a host that waits twice after a cut.
+
+        The store answers again, so the long wait of the outage is over.
+        """
+        down = [platform.Unavailable()] * 5
+        fresh = platform.Listing(9, (put(9).stored,))
+        waits = await self.waits(*down, platform.VersionExpired(), fresh)
+        self.assertEqual(8.0, waits[4])
+        self.assertLessEqual(waits[5], 1.0)
+
+    async def test_calls_that_timed_out_are_repeated_soon(self):
+        """Guards against a wait behind a call that has taken long itself."""
+        waits = await self.waits(*[platform.TimedOut()] * 5, [put(5)])
+        self.assertLessEqual(max(waits), 1.0)
+
+
+class FullJitter(random.Random):
+    """Random source of the longest waits."""
+
+    def random(self) -> float:
+        return 1.0
--- a/acaciamoor/platform/watching.py
+++ b/acaciamoor/platform/watching.py
@@ -69,6 +69,8 @@
                     self._version,
                 )
                 self._list_next = True
+                # The platform answers, so the waits of an outage are over.
+                self._note_success()
                 await self._sleep(self._backoff.next_wait())
             except errors.StoreError as error:
                 self._note_failure(error)
