--- a/acaciamoor/explain/__init__.py
+++ b/acaciamoor/explain/__init__.py
@@ -1,7 +1,7 @@
-"""Tells the story of a flow or an upstream from the logs of many hosts."""
+"""Shows the timeline of a flow or an upstream from the logs of many hosts."""
 
-from acaciamoor.explain.story import Line
-from acaciamoor.explain.story import parse_line
-from acaciamoor.explain.story import Story
+from acaciamoor.explain.timeline import Line
+from acaciamoor.explain.timeline import parse_line
+from acaciamoor.explain.timeline import Timeline
 
-__all__ = ['Line', 'Story', 'parse_line']
+__all__ = ['Line', 'Timeline', 'parse_line']
--- a/acaciamoor/explain/main.py
+++ b/acaciamoor/explain/main.py
@@ -7,11 +7,11 @@
 import sys
 
 from acaciamoor import settings
-from acaciamoor.explain import story
+from acaciamoor.explain import timeline
 
 EPILOG = """\
 exit codes:
-  0  the story was printed
+  0  the timeline was printed
   1  a file cannot be read
   2  bad settings
   3  no line is about the subject
@@ -34,7 +34,7 @@
     'margin',
     settings.duration(),
     datetime.timedelta(seconds=5),
-    'Time around the lines in which the hosts are told of as well.',
+    'Time around the lines in which the hosts are shown as well.',
     's',
 )
 
@@ -42,7 +42,7 @@
 def _run() -> settings.ExitCode:
     parser = settings.SettingsParser(
         'acaciamoor-explain',
-        'Tells the story of a flow or an upstream from logs.',
+        'Shows the timeline of a flow or an upstream from logs.',
         (SUBJECT, LOGS, MARGIN),
         epilog=EPILOG,
     )
@@ -53,12 +53,12 @@
             for text in itertools.chain.from_iterable(
                 _texts(path) for path in given[LOGS]
             )
-            if (line := story.parse_line(text)) is not None
+            if (line := timeline.parse_line(text)) is not None
         ]
     except OSError as error:
         print(f'acaciamoor-explain: {error}', file=sys.stderr)
         return settings.ExitCode.FAILURE
-    found = story.Story(lines, given[SUBJECT], given[MARGIN]).lines
+    found = timeline.Timeline(lines, given[SUBJECT], given[MARGIN]).lines
     try:
         for line in found:
             print(line)
@@ -74,7 +74,7 @@
 
 
 def main() -> int:
-    """Print the story and return the exit code of the process."""
+    """Print the timeline and return the exit code of the process."""
     return settings.run_program(_run)
 
 
--- a/acaciamoor/explain/tests/test_story.py
+++ b/acaciamoor/explain/tests/test_timeline.py
@@ -1,4 +1,4 @@
-"""The story of a failed request from logs alone."""
+"""The timeline of a failed request from logs alone."""
 
 import contextlib
 import io
@@ -22,7 +22,9 @@
 
 
 LINES = [
-    line(9, 'h-2', 'upstream is draining, told by store', upstream='desk-1'),
+    line(
+        9, 'h-2', 'upstream is draining, learned from store', upstream='desk-1'
+    ),
     line(1, 'h-1', 'flow placed', flow=FLOW, upstream='desk-1', attempt=1),
     line(2, 'h-1', 'flow placed', flow='1.2.3.4:5>6.7.8.9:10'),
     line(3, 'h-1', 'leaving'),
@@ -33,11 +35,11 @@
 ]
 
 
-class StoryTest(unittest.TestCase):
-    def test_hosts_are_told_in_order(self):
-        """Guards against a story that mixes up cause and effect."""
+class TimelineTest(unittest.TestCase):
+    def test_lines_of_hosts_are_ordered(self):
+        """Guards against lines that are out of order."""
         parsed = [explain.parse_line(text) for text in LINES]
-        story = explain.Story(
+        timeline = explain.Timeline(
             [item for item in parsed if item is not None], FLOW
         )
         self.assertEqual(
@@ -46,9 +48,9 @@
                 'leaving',
                 'packet dropped',
                 'started',
-                'upstream is draining, told by store',
+                'upstream is draining, learned from store',
             ],
-            [item.message for item in story.lines],
+            [item.message for item in timeline.lines],
         )
 
     def run_program(self, *arguments):
@@ -74,8 +76,8 @@
             code, _ = self.run_program('1.1.1.1:1', '--log', path.as_posix())
             self.assertEqual(3, code)
 
-    def test_missing_file_is_told(self):
-        """Guards against an empty story of a file that was not read."""
+    def test_missing_file_is_reported(self):
+        """Guards against an empty timeline of a file that was not read."""
         code, text = self.run_program('a', '--log', '/nonexistent/log')
         self.assertEqual(1, code)
         self.assertIn('/nonexistent/log', text)
--- a/acaciamoor/explain/story.py
+++ b/acaciamoor/explain/timeline.py
@@ -11,8 +11,8 @@
 _HIDDEN = frozenset(
     ['time', 'host', 'data_centre', 'message', 'program', 'logger', 'level']
 )
-# What every story needs: changes of what a host knows or is.
-_TURNS = (
+# Changes of what a host knows or is, which belong to every timeline.
+_STATE_CHANGES = (
     'started',
     'leaving',
     'stopped',
@@ -92,8 +92,8 @@
     return Line(time, str(fields.get('host', 'unknown')), message, fields)
 
 
-class Story:
-    """Lines about a subject, and the turns of the hosts that they name.
+class Timeline:
+    """Lines about a subject, and state changes of the hosts in them.
 
     Parameters
     ----------
@@ -103,7 +103,7 @@
         Flow, caller or upstream.
     margin : datetime.timedelta
         Time before the first and after the last line about the subject in
-        which the turns of its hosts and upstreams are told.
+        which the state changes of its hosts and upstreams are included.
     """
 
     def __init__(
@@ -126,13 +126,16 @@
             if line.mentions(subject)
             or (
                 first <= line.time <= last
-                and (_is_turn(line, hosts) or _is_change(line, upstreams))
+                and (
+                    _is_state_change(line, hosts)
+                    or _is_change(line, upstreams)
+                )
             )
         )
 
 
-def _is_turn(line: Line, hosts: set[str]) -> bool:
-    return line.host in hosts and line.message.startswith(_TURNS)
+def _is_state_change(line: Line, hosts: set[str]) -> bool:
+    return line.host in hosts and line.message.startswith(_STATE_CHANGES)
 
 
 def _is_change(line: Line, upstreams: set[str]) -> bool:
--- a/acaciamoor/forwarder/shell/adoption.py
+++ b/acaciamoor/forwarder/shell/adoption.py
@@ -101,7 +101,7 @@
             self._core.placer.note_warm_up(upstream_id, listed.warm_up, now)
         if changed:
             _LOG.info(
-                'upstream is %s, told by %s',
+                'upstream is %s, learned from %s',
                 state,
                 source,
                 extra={'upstream': upstream_id, 'version': event.version},
--- a/acaciamoor/forwarder/shell/observer.py
+++ b/acaciamoor/forwarder/shell/observer.py
@@ -31,7 +31,7 @@
 class Observer:
     """Writes one line for each decision about a flow and counts all packets.
 
-    Lines are limited a second; what was left out is counted and told.
+    Lines are limited a second; those left out are counted and reported.
 
     Parameters
     ----------
@@ -133,7 +133,7 @@
         )
 
     def tick(self) -> None:
-        """Tell how many lines were left out."""
+        """Log how many lines were left out."""
         left_out = self._budget.left_out()
         if left_out:
             _LOG.warning('%d log lines were left out', left_out)
--- a/acaciamoor/forwarder/tests/test_core.py
+++ b/acaciamoor/forwarder/tests/test_core.py
@@ -131,7 +131,7 @@
         ]
         self.assertEqual(1, len(repeated))
 
-    def test_second_silence_accuses_nobody(self):
+    def test_second_silence_is_no_evidence(self):
         """Guards against suspicion of all upstreams when routing changes.
 
         The flow opened, but its next packet passes another host.
--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -88,8 +88,8 @@
         self.assertEqual(0, self.server.listeners)
         task.cancel()
 
-    async def test_stranger_is_disconnected(self):
-        """Guards against strangers that take up a listener's place."""
+    async def test_other_client_is_disconnected(self):
+        """Guards against other clients that take up a listener's place."""
         reader, writer = await asyncio.open_connection(
             self.address.ip, self.address.port
         )
--- a/acaciamoor/openings/tests/test_openings.py
+++ b/acaciamoor/openings/tests/test_openings.py
@@ -61,7 +61,7 @@
         }
         self.assertEqual({'near-0', 'near-1'}, chosen)
 
-    def test_crest_spills_over_to_other_data_centres(self):
+    def test_peak_spills_over_to_other_data_centres(self):
         """Guards against a starved data centre beside idle upstreams."""
         for upstream in self.near:
             for _ in range(6):
@@ -80,7 +80,7 @@
         )
 
     def test_copy_goes_to_another_upstream(self):
-        """Guards against a caller that knocks at a dead upstream twice."""
+        """Guards against a caller that tries a dead upstream twice."""
         self.assertEqual(
             'near-1', self.placement.choose(self.near, tried=['near-0'])
         )
--- a/acaciamoor/platform/tests/test_calls.py
+++ b/acaciamoor/platform/tests/test_calls.py
@@ -109,7 +109,7 @@
                 await transport.write(platform.Write('desk', 'a', {}, ()))
 
     async def test_bytes_that_are_no_answer(self):
-        """Guards against a stranger on the platform's port."""
+        """Guards against another program on the platform's port."""
 
         async def babble(reader, writer):
             writer.write(b'hello\r\n\r\n')
--- a/acaciamoor/telemetry/bounded.py
+++ b/acaciamoor/telemetry/bounded.py
@@ -53,7 +53,7 @@
             except BlockingIOError:
                 return
             except OSError:
-                # The reader is gone for good; there is nobody to tell.
+                # The reader is gone for good, so nothing can be reported.
                 self._drop_all()
                 return
             self._waiting_bytes -= written
--- a/acaciamoor/telemetry/tests/test_bounded.py
+++ b/acaciamoor/telemetry/tests/test_bounded.py
@@ -61,7 +61,7 @@
 
 class BudgetTest(unittest.TestCase):
     def test_routine_leaves_room_for_failures(self):
-        """Guards against failures that are crowded out at a crest."""
+        """Guards against failures that are crowded out at a peak."""
         manual = clock.ManualClock()
         budget = bounded.LineBudget(manual)
         for _ in range(1000):
