--- a/acaciamoor/platform/tests/test_calls.py
+++ b/acaciamoor/platform/tests/test_calls.py
@@ -10,6 +10,7 @@
 from acaciamoor import model
 from acaciamoor import platform
 from acaciamoor.platform import calls
+from acaciamoor.platform import channel
 from acaciamoor.platform import dialect
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
@@ -64,6 +65,29 @@
             await transport.read('desk', 'a')
         await transport.read('desk', 'a')
 
+    async def test_transport_that_is_closed(self):
+        """Guards against an error of the event loop that ends the caller.
+
+        A closed transport of uvloop raises RuntimeError, which no caller of
+        the platform expects.
+        """
+
+        async def wait(reader, writer):
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(wait, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        broken = channel.Channel(
+            model.Address(*server.sockets[0].getsockname()),
+            channel.ChannelSettings(),
+        )
+        await broken.connect()
+        broken._writer.transport.abort()
+        await asyncio.sleep(0.01)
+        with self.assertRaises(OSError):
+            await broken.call(b'GET / HTTP/1.1\r\n\r\n', SHORT)
+
     async def test_silent_platform(self):
         """Guards against a call that waits for ever."""
 
