--- a/acaciamoor/forwarder/shell/__init__.py
+++ b/acaciamoor/forwarder/shell/__init__.py
@@ -1,6 +1,6 @@
 """Tasks that own the sockets, timers and connections of a forwarder."""
 
-from acaciamoor.forwarder.shell.following import FollowingSettings
+from acaciamoor.forwarder.shell.limits import FollowingSettings
 from acaciamoor.forwarder.shell.process import ForwarderProcess
 from acaciamoor.forwarder.shell.process import ProcessSettings
 
--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -14,83 +14,12 @@
 from acaciamoor import replica as replicas
 from acaciamoor.forwarder import catalogue as catalogues
 from acaciamoor.forwarder.shell import adoption as adoptions
+from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import relay_link
 from acaciamoor.forwarder.shell import relay_server
-from acaciamoor.platform import calls
 from acaciamoor.platform import watching
 
 _LOG = logging.getLogger(__name__)
-# Bounds of the wait between two calls for changes. The first one collects
-# changes that come close together into one answer. The second one, which
-# applies while the store refuses calls, keeps hosts within the 4 s after its
-# return in which they must be up to date again.
-FIRST_WAIT = datetime.timedelta(milliseconds=400)
-LONGEST_WAIT = datetime.timedelta(milliseconds=2400)
-# Time for an answer beyond the time that a call asks to wait. A slow store
-# takes 0.3 s.
-CALL_LIMIT = datetime.timedelta(milliseconds=800)
-# Time between messages to listeners while nothing changes.
-BEAT_INTERVAL = datetime.timedelta(milliseconds=400)
-# Time between two looks at which sources are needed.
-REVIEW_INTERVAL = datetime.timedelta(milliseconds=200)
-# First and longest mean time between reads of the host list. All hosts of a
-# site may start together and find the list empty, so the time doubles from
-# read to read. Later a new host listens to relays at once; the others need
-# its entry only when it becomes a relay itself.
-FIRST_HOSTS_INTERVAL = datetime.timedelta(seconds=1)
-HOSTS_INTERVAL = datetime.timedelta(seconds=20)
-# Time after which a failed read of the host list is repeated.
-HOSTS_RETRY = datetime.timedelta(seconds=3)
-# Share of the bound of a change after which a host does not rely on its
-# relays any more; the rest is left for its own call to the store.
-_AGE_SHARE = 0.65
-# Share of the bound for which a relay waits for changes in one call. With the
-# waits above it keeps the age at a listener below the share above.
-_WAIT_SHARE = 0.27
-# Share of the time of recovery for which a call waits for changes. A store
-# that was silent does not answer calls of before; they must have ended, and
-# their successors been answered, within that time.
-_PATIENCE_SHARE = 0.6
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FollowingSettings:
-    """How collections are followed.
-
-    Parameters
-    ----------
-    own : Peer
-        This host, with the address where other hosts connect.
-    seeds : tuple of Address
-        Hosts to ask while the host list cannot be read.
-    change_bound : datetime.timedelta
-        Time within which a change must be in force.
-    recovery_bound : datetime.timedelta
-        Time after the return of the store, or of the path to it, from which
-        on a host must be up to date.
-    """
-
-    own: replicas.Peer
-    seeds: tuple[model.Address, ...]
-    change_bound: datetime.timedelta
-    recovery_bound: datetime.timedelta
-
-    @property
-    def age_limit(self) -> datetime.timedelta:
-        """Age after which a copy must be confirmed by the store itself."""
-        return self.change_bound * _AGE_SHARE
-
-    @property
-    def patient_calls(self) -> calls.CallSettings:
-        """Limits for calls of hosts that watch for themselves alone."""
-        return calls.CallSettings(
-            CALL_LIMIT, self.recovery_bound * _PATIENCE_SHARE
-        )
-
-    @property
-    def frequent_calls(self) -> calls.CallSettings:
-        """Limits for calls of relays."""
-        return calls.CallSettings(CALL_LIMIT, self.change_bound * _WAIT_SHARE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,7 +50,7 @@
 
     def __init__(
         self,
-        settings: FollowingSettings,
+        settings: limits.FollowingSettings,
         catalogue: catalogues.Catalogue,
         patient: platform.Transport,
         frequent: platform.Transport,
@@ -223,7 +152,7 @@
 
     async def _beat(self) -> None:
         while True:
-            await asyncio.sleep(BEAT_INTERVAL.total_seconds())
+            await asyncio.sleep(limits.BEAT_INTERVAL.total_seconds())
             self._server.beat()
 
     async def _review(self) -> None:
@@ -234,7 +163,7 @@
             for replica in self._replicas_by_kind.values():
                 self._review_watch(replica, bool(relays), now)
             self._review_links(relays, now)
-            await asyncio.sleep(REVIEW_INTERVAL.total_seconds())
+            await asyncio.sleep(limits.REVIEW_INTERVAL.total_seconds())
 
     def _note_role(self, relaying: bool) -> None:
         relaying = relaying or bool(self._server.listeners)
@@ -278,7 +207,9 @@
             transport,
             replica.kind,
             base,
-            platform.Backoff(self._random, FIRST_WAIT, LONGEST_WAIT),
+            platform.Backoff(
+                self._random, limits.FIRST_WAIT, limits.LONGEST_WAIT
+            ),
             platform.backoff.sleep,
             replica.names,
         )
@@ -357,7 +288,7 @@
 
     async def _follow_hosts(self) -> None:
         registered = False
-        interval = FIRST_HOSTS_INTERVAL
+        interval = limits.FIRST_HOSTS_INTERVAL
         while True:
             try:
                 listing = await self._patient.read_all(
@@ -367,11 +298,11 @@
                 self._take_hosts(listing)
             except platform.StoreError as error:
                 _LOG.info('host list: %r', error)
-                await asyncio.sleep(HOSTS_RETRY.total_seconds())
+                await asyncio.sleep(limits.HOSTS_RETRY.total_seconds())
                 continue
             jitter = 0.5 + self._random.random()
             await asyncio.sleep(interval.total_seconds() * jitter)
-            interval = min(2 * interval, HOSTS_INTERVAL)
+            interval = min(2 * interval, limits.HOSTS_INTERVAL)
 
     def _take_hosts(self, listing: platform.Listing) -> None:
         found = (self._catalogue.host(stored) for stored in listing.objects)
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -22,6 +22,7 @@
 from acaciamoor.forwarder.shell import driver as drivers
 from acaciamoor.forwarder.shell import endpoint as endpoints
 from acaciamoor.forwarder.shell import following as followings
+from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import observer
 from acaciamoor.telemetry import exposition
 
@@ -58,7 +59,7 @@
 
     core: cores.CoreSettings
     directory: directories.DirectorySettings
-    following: followings.FollowingSettings
+    following: limits.FollowingSettings
     listen: model.Address
     readiness_address: model.Address
     readiness_path: str
--- a/acaciamoor/forwarder/tests/test_following.py
+++ b/acaciamoor/forwarder/tests/test_following.py
@@ -12,6 +12,7 @@
 from acaciamoor import platform
 from acaciamoor import replica
 from acaciamoor.forwarder.shell import following as followings
+from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.tests import test_relay
 
 SECOND = datetime.timedelta(seconds=1)
@@ -103,7 +104,7 @@
         own = replica.Peer(model.HostId(str(address)), 'kgn-a', address)
         adoption = Adoption()
         following = followings.Following(
-            followings.FollowingSettings(
+            limits.FollowingSettings(
                 own, tuple(seeds), 3 * SECOND, 4 * SECOND
             ),
             Catalogue(),
@@ -150,26 +151,22 @@
         A call that was sent just before the store fell silent must end, and
         its successor be sent, before the host counts as up to date.
         """
-        settings = followings.FollowingSettings(
-            None, (), 3 * SECOND, 4 * SECOND
-        )
-        for limits in (settings.patient_calls, settings.frequent_calls):
-            latest = limits.wait + limits.call + followings.FIRST_WAIT
+        settings = limits.FollowingSettings(None, (), 3 * SECOND, 4 * SECOND)
+        for call in (settings.patient_calls, settings.frequent_calls):
+            latest = call.wait + call.call + limits.FIRST_WAIT
             self.assertLess(latest, settings.recovery_bound)
-        self.assertLess(followings.LONGEST_WAIT, settings.recovery_bound)
+        self.assertLess(limits.LONGEST_WAIT, settings.recovery_bound)
 
     def test_listeners_ask_the_store_in_time(self):
         """Guards against relays that were cut off and hide a change."""
-        settings = followings.FollowingSettings(
-            None, (), 3 * SECOND, 4 * SECOND
-        )
+        settings = limits.FollowingSettings(None, (), 3 * SECOND, 4 * SECOND)
         usual = (
             settings.frequent_calls.wait
-            + followings.FIRST_WAIT
-            + followings.BEAT_INTERVAL
+            + limits.FIRST_WAIT
+            + limits.BEAT_INTERVAL
         )
         self.assertLess(usual, settings.age_limit)
-        latest = settings.age_limit + followings.REVIEW_INTERVAL
+        latest = settings.age_limit + limits.REVIEW_INTERVAL
         self.assertLess(latest + SECOND / 2, settings.change_bound)
 
 
