--- a/acaciamoor/directory/directory.py
+++ b/acaciamoor/directory/directory.py
@@ -1,17 +1,17 @@
 """Routes and upstreams that a host acts on."""
 
 import collections.abc
-import dataclasses
 import datetime
 
+import msgspec
+
 from acaciamoor import model
 from acaciamoor import tokens
 from acaciamoor.directory import routes
 from acaciamoor.directory import upstreams
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DirectorySettings:
+class DirectorySettings(msgspec.Struct, frozen=True):
     """How long entries that were removed are kept.
 
     Parameters
@@ -30,8 +30,7 @@
     lapse_grace: datetime.timedelta = datetime.timedelta(seconds=2)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Removed:
+class _Removed(msgspec.Struct, frozen=True):
     listed: upstreams.ListedUpstream
     at: datetime.timedelta
 
--- a/acaciamoor/directory/routes.py
+++ b/acaciamoor/directory/routes.py
@@ -1,10 +1,11 @@
 """Routes: where flows to an address may be sent."""
 
 import collections.abc
-import dataclasses
 import datetime
 import enum
 
+import msgspec
+
 from acaciamoor import tokens
 
 
@@ -17,8 +18,7 @@
     UPLOAD = 'upload'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Rules for flows to one address.
 
     Parameters
@@ -48,8 +48,7 @@
     priority: int = 0
 
 
-@dataclasses.dataclass(frozen=True)
-class RouteTable:
+class RouteTable(msgspec.Struct, frozen=True):
     """All routes of one version of the configuration.
 
     Parameters
--- a/acaciamoor/directory/upstreams.py
+++ b/acaciamoor/directory/upstreams.py
@@ -1,14 +1,14 @@
 """Upstreams as they list themselves in the platform's store."""
 
 import collections.abc
-import dataclasses
 import datetime
 
+import msgspec
+
 from acaciamoor import model
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListedUpstream:
+class ListedUpstream(msgspec.Struct, frozen=True):
     """An upstream's own entry.
 
     Parameters
@@ -43,8 +43,7 @@
         return self.upstream.upstream_id
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamList:
+class UpstreamList(msgspec.Struct, frozen=True):
     """All entries at one revision of the store."""
 
     revision: int
--- a/acaciamoor/findings/findings.py
+++ b/acaciamoor/findings/findings.py
@@ -1,11 +1,11 @@
 """Findings with their place, and the exception group that carries them."""
 
 import collections.abc
-import dataclasses
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class Finding:
+
+class Finding(msgspec.Struct, frozen=True, order=True):
     """One problem and where it was found.
 
     Parameters
--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -1,9 +1,10 @@
 """Decisions about packets, without input and output."""
 
-import dataclasses
 import datetime
 import random
 
+import msgspec
+
 from acaciamoor import directory as directories
 from acaciamoor import hashing
 from acaciamoor import model
@@ -20,8 +21,7 @@
 _OUTDATED = effects.Dropped(effects.DropReason.OUTDATED)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CoreSettings:
+class CoreSettings(msgspec.Struct, frozen=True):
     """Limits of one host.
 
     Parameters
--- a/acaciamoor/forwarder/effects.py
+++ b/acaciamoor/forwarder/effects.py
@@ -1,10 +1,11 @@
 """What a host does with a packet."""
 
-import dataclasses
 import datetime
 import enum
 import typing
 
+import msgspec
+
 from acaciamoor import model
 from acaciamoor.openings import pending
 
@@ -51,8 +52,7 @@
     token: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placed:
+class Placed(msgspec.Struct, frozen=True):
     """Send an opening packet to the upstream that was chosen for it.
 
     Parameters
@@ -81,16 +81,14 @@
     suspects: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True):
     """Tell a caller at once that its flow cannot be opened."""
 
     key: pending.FlowKey
     reason: RefusalReason
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Dropped:
+class Dropped(msgspec.Struct, frozen=True):
     """Do nothing; the caller repeats the packet."""
 
     reason: DropReason
@@ -99,8 +97,7 @@
 Decision = Forward | Placed | Refusal | Dropped
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Suspected:
+class Suspected(msgspec.Struct, frozen=True):
     """An upstream did not answer an opening and is avoided."""
 
     upstream_id: model.UpstreamId
@@ -108,16 +105,14 @@
     silence: datetime.timedelta
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Cleared:
+class Cleared(msgspec.Struct, frozen=True):
     """A suspected upstream has answered."""
 
     upstream_id: model.UpstreamId
     key: pending.FlowKey
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Opened:
+class Opened(msgspec.Struct, frozen=True):
     """The first packet after an opening has passed."""
 
     upstream_id: model.UpstreamId
--- a/acaciamoor/forwarder/knowledge.py
+++ b/acaciamoor/forwarder/knowledge.py
@@ -1,11 +1,11 @@
 """What a host knows at one moment, for logs and metrics."""
 
 import collections.abc
-import dataclasses
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Knowledge:
+
+class Knowledge(msgspec.Struct, frozen=True):
     """Versions in force, and for how long they may be out of date.
 
     Parameters
--- a/acaciamoor/forwarder/shell/adoption.py
+++ b/acaciamoor/forwarder/shell/adoption.py
@@ -39,10 +39,6 @@
         self._directory = directory
         self._core = core
         self._clock = clock
-        self._apply_by_kind = {
-            catalogue.routes_kind: self._apply_routes,
-            catalogue.upstreams_kind: self._apply_upstream,
-        }
 
     def take(
         self,
@@ -61,16 +57,42 @@
         source : str
             Who told of them, for the log.
         """
-        apply = self._apply_by_kind[replica.kind]
+        if replica.kind == self._catalogue.routes_kind:
+            for event in events:
+                self._apply_routes(event, source)
+        else:
+            self._take_upstreams(events, source)
+            if replica.known:
+                self._directory.mark_listed(replica.version)
+
+    def _take_upstreams(
+        self, events: list[platform.WatchEvent], source: str
+    ) -> None:
+        first = not self._directory.listed
         for event in events:
             if event.stored is not None:
-                apply(event, source)
-        if replica.known and replica.kind == self._catalogue.upstreams_kind:
-            self._directory.mark_listed(replica.version)
+                state = self._apply_upstream(event)
+                if state and not first:
+                    _LOG.info(
+                        'upstream is %s, learned from %s',
+                        state,
+                        source,
+                        extra={
+                            'upstream': event.stored.name,
+                            'version': event.version,
+                        },
+                    )
+        if first and events:
+            # A line for each upstream would delay a host that starts.
+            _LOG.info(
+                '%d upstreams learned from %s',
+                len(self._directory.listed),
+                source,
+            )
 
     def _apply_routes(self, event: platform.WatchEvent, source: str) -> None:
         stored = event.stored
-        if stored.name != self._catalogue.routes_name:
+        if stored is None or stored.name != self._catalogue.routes_name:
             return
         if event.event_type is not platform.EventType.PUT:
             _LOG.warning('the configuration was removed; the last one holds')
@@ -85,24 +107,17 @@
                 extra={'version': table.version},
             )
 
-    def _apply_upstream(self, event: platform.WatchEvent, source: str) -> None:
+    def _apply_upstream(self, event: platform.WatchEvent) -> str:
+        """Return the new state of the upstream; empty if none has changed."""
         now = self._clock.monotonic()
         upstream_id = model.UpstreamId(event.stored.name)
         listed = None
         if event.event_type is platform.EventType.PUT:
             listed = self._catalogue.upstream(event.stored)
         if listed is None:
-            changed = self._directory.remove_upstream(upstream_id, now)
-            state = 'gone'
-        else:
-            changed = self._directory.put_upstream(listed)
-            state = listed.upstream.state.value
-        if listed is not None and changed:
-            self._core.placer.note_warm_up(upstream_id, listed.warm_up, now)
-        if changed:
-            _LOG.info(
-                'upstream is %s, learned from %s',
-                state,
-                source,
-                extra={'upstream': upstream_id, 'version': event.version},
-            )
+            removed = self._directory.remove_upstream(upstream_id, now)
+            return 'gone' if removed else ''
+        if not self._directory.put_upstream(listed):
+            return ''
+        self._core.placer.note_warm_up(upstream_id, listed.warm_up, now)
+        return listed.upstream.state.value
--- a/acaciamoor/forwarder/shell/endpoint.py
+++ b/acaciamoor/forwarder/shell/endpoint.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import http
 
 import httptools
+import msgspec
 
 from acaciamoor import model
 
@@ -13,8 +13,7 @@
 _BACKLOG = 64
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(msgspec.Struct, frozen=True):
     """Answer to a GET request."""
 
     status: http.HTTPStatus
--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import datetime
 import functools
 import logging
 import random
 
+import msgspec
+
 from acaciamoor import clock as clocks
 from acaciamoor import model
 from acaciamoor import platform
@@ -22,8 +23,7 @@
 _LOG = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Watch:
+class _Watch(msgspec.Struct, frozen=True):
     transport: platform.Transport
     task: asyncio.Task[None]
 
--- a/acaciamoor/forwarder/shell/limits.py
+++ b/acaciamoor/forwarder/shell/limits.py
@@ -1,8 +1,9 @@
 """Intervals and bounds of following the store."""
 
-import dataclasses
 import datetime
 
+import msgspec
+
 from acaciamoor import model
 from acaciamoor import replica as replicas
 from acaciamoor.platform import calls
@@ -40,8 +41,7 @@
 _PATIENCE_SHARE = 0.6
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FollowingSettings:
+class FollowingSettings(msgspec.Struct, frozen=True):
     """How collections are followed.
 
     Parameters
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import datetime
 import http
 import logging
 import random
 import signal
 
+import msgspec
+
 from acaciamoor import clock as clocks
 from acaciamoor import directory as directories
 from acaciamoor import model
@@ -32,8 +33,7 @@
 _MS = datetime.timedelta(milliseconds=1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProcessSettings:
+class ProcessSettings(msgspec.Struct, frozen=True):
     """Addresses and limits of a forwarder.
 
     Parameters
--- /dev/null
+++ b/acaciamoor/forwarder/tests/test_adoption.py
@@ -0,0 +1,80 @@
+"""What a host writes when it learns of upstreams."""
+
+import unittest
+
+from acaciamoor import clock
+from acaciamoor import directory
+from acaciamoor import platform
+from acaciamoor import replica
+from acaciamoor.directory.tests import builders as directory_builders
+from acaciamoor.forwarder.shell import adoption
+from acaciamoor.forwarder.tests import builders
+
+UPSTREAMS = 'upstreams'
+LOGGER = 'acaciamoor.forwarder.shell.adoption'
+
+
+class Catalogue:
+    """Takes the name of an object for an upstream."""
+
+    routes_kind = 'routes'
+    routes_name = 'main'
+    upstreams_kind = UPSTREAMS
+
+    def upstream(self, stored):
+        return directory_builders.listed(stored.name, stored.version)
+
+
+def events(*names: str, version: int) -> list[platform.WatchEvent]:
+    """Return events that put objects at one version."""
+    return [
+        platform.WatchEvent(
+            platform.EventType.PUT,
+            version,
+            platform.StoredObject(UPSTREAMS, name, version, {}),
+        )
+        for name in names
+    ]
+
+
+class AdoptionTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = directory.Directory()
+        self.replica = replica.Replica(UPSTREAMS)
+        self.adoption = adoption.Adoption(
+            Catalogue(),
+            self.directory,
+            builders.core(self.directory),
+            clock.ManualClock(),
+        )
+
+    def take(self, *names: str, version: int) -> list[str]:
+        """Adopt objects and return the log lines."""
+        batch = replica.Batch(
+            self.replica.version,
+            version,
+            tuple(events(*names, version=version)),
+            whole=not self.replica.known,
+        )
+        accepted = self.replica.apply(batch)
+        with self.assertLogs(LOGGER, 'INFO') as logs:
+            self.adoption.take(self.replica, accepted, 'store')
+        return [record.getMessage() for record in logs.records]
+
+    def test_first_listing_writes_one_line(self):
+        """Guards against starts that spend their time on log lines."""
+        names = [f'desk-{number}' for number in range(3000)]
+        lines = self.take(*names, version=7)
+        self.assertEqual(['3000 upstreams learned from store'], lines)
+        self.assertEqual(3000, len(self.directory.listed))
+        self.assertEqual(7, self.directory.revision)
+
+    def test_later_changes_write_a_line_each(self):
+        """Guards against changes that cannot be found in the log."""
+        self.take('desk-1', version=7)
+        lines = self.take('desk-2', 'desk-3', version=8)
+        self.assertEqual(['upstream is active, learned from store'] * 2, lines)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/acaciamoor/naive/operator.py
+++ b/acaciamoor/naive/operator.py
@@ -6,7 +6,8 @@
 """
 
 import collections.abc
-import dataclasses
+
+import msgspec
 
 import acaciamoor.platform as platform
 
@@ -37,7 +38,7 @@
         """Store a value on top of the version that exists."""
         while True:
             version = await self._version(write)
-            current = dataclasses.replace(write, expected_version=version)
+            current = msgspec.structs.replace(write, expected_version=version)
             try:
                 return await self._transport.write(current)
             except (platform.Conflict, platform.NotFound):
--- a/acaciamoor/openings/evidence.py
+++ b/acaciamoor/openings/evidence.py
@@ -5,14 +5,14 @@
 upstream; any packet that follows an answer clears it.
 """
 
-import dataclasses
 import datetime
 
+import msgspec
+
 from acaciamoor import model
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EvidenceSettings:
+class EvidenceSettings(msgspec.Struct, frozen=True):
     """How long silence counts.
 
     Parameters
--- a/acaciamoor/openings/pending.py
+++ b/acaciamoor/openings/pending.py
@@ -2,9 +2,10 @@
 
 import collections
 import collections.abc
-import dataclasses
 import datetime
 
+import msgspec
+
 from acaciamoor import model
 from acaciamoor import tokens
 
@@ -12,8 +13,7 @@
 FlowKey = tuple[int, int, int, int]
 
 
-@dataclasses.dataclass(slots=True)
-class Opening:
+class Opening(msgspec.Struct):
     """A flow that is being opened.
 
     Parameters
--- a/acaciamoor/openings/placer.py
+++ b/acaciamoor/openings/placer.py
@@ -1,10 +1,11 @@
 """Choice of the upstream for a new flow."""
 
 import collections.abc
-import dataclasses
 import datetime
 import random
 
+import msgspec
+
 from acaciamoor import directory
 from acaciamoor import model
 from acaciamoor.openings import evidence as evidences
@@ -13,8 +14,7 @@
 _NO_TIME = datetime.timedelta(0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlacementSettings:
+class PlacementSettings(msgspec.Struct, frozen=True):
     """Weights of the choice.
 
     Parameters
--- a/acaciamoor/platform/calls.py
+++ b/acaciamoor/platform/calls.py
@@ -1,9 +1,10 @@
 """Transport for platforms with pages and waiting calls."""
 
 import collections.abc
-import dataclasses
 import datetime
 
+import msgspec
+
 from acaciamoor import model
 from acaciamoor.platform import channel as channels
 from acaciamoor.platform import dialect as dialects
@@ -15,8 +16,7 @@
 _IDLE_CHANNELS = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallSettings:
+class CallSettings(msgspec.Struct, frozen=True):
     """Limits for calls.
 
     Parameters
@@ -31,7 +31,7 @@
 
     call: datetime.timedelta = datetime.timedelta(seconds=2)
     wait: datetime.timedelta = datetime.timedelta(seconds=2)
-    channel: channels.ChannelSettings = dataclasses.field(
+    channel: channels.ChannelSettings = msgspec.field(
         default_factory=channels.ChannelSettings
     )
 
--- a/acaciamoor/platform/channel.py
+++ b/acaciamoor/platform/channel.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-import dataclasses
 import datetime
 import socket
 
 import httptools
+import msgspec
 
 from acaciamoor import model
 
@@ -17,8 +17,7 @@
 _MS = datetime.timedelta(milliseconds=1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ChannelSettings:
+class ChannelSettings(msgspec.Struct, frozen=True):
     """How a connection notices that its path is gone.
 
     A waiting call sends nothing, so only probes of the transport protocol
@@ -43,8 +42,7 @@
     unacknowledged: datetime.timedelta = datetime.timedelta(seconds=2)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """Response to a call."""
 
     status: int
--- a/acaciamoor/platform/dialect.py
+++ b/acaciamoor/platform/dialect.py
@@ -1,15 +1,15 @@
 """How a platform spells the calls of its object API."""
 
 import collections.abc
-import dataclasses
 import datetime
 import typing
 
+import msgspec
+
 from acaciamoor.platform import objects
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
+class Call(msgspec.Struct, frozen=True):
     """One HTTP request.
 
     Parameters
@@ -28,8 +28,7 @@
     body: bytes = b''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Page:
+class Page(msgspec.Struct, frozen=True):
     """Part of a collection.
 
     Parameters
@@ -47,8 +46,7 @@
     continue_after: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
+class Changes(msgspec.Struct, frozen=True):
     """Changes since a version.
 
     Parameters
--- a/acaciamoor/platform/objects.py
+++ b/acaciamoor/platform/objects.py
@@ -1,18 +1,18 @@
 """Stored objects and the interfaces of the store."""
 
 import collections.abc
-import dataclasses
 import enum
 import typing
 
+import msgspec
+
 from acaciamoor.model import limits
 
 Value = collections.abc.Mapping[str, typing.Any]
 VALUE_LIMIT_BYTES = limits.VALUE_LIMIT_BYTES
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """Identifies one write of an object.
 
     Parameters
@@ -28,8 +28,7 @@
     version: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredObject:
+class StoredObject(msgspec.Struct, frozen=True):
     """An object as the platform holds it.
 
     Parameters
@@ -53,16 +52,14 @@
     changes: tuple[Change, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True):
     """All objects of a kind at one version of the collection."""
 
     version: int
     objects: tuple[StoredObject, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FieldSelector:
+class FieldSelector(msgspec.Struct, frozen=True):
     """Objects whose value has a field with this text.
 
     Parameters
@@ -98,8 +95,7 @@
     BOOKMARK = 'bookmark'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WatchEvent:
+class WatchEvent(msgspec.Struct, frozen=True):
     """One change of a collection; a bookmark has no object."""
 
     event_type: EventType
@@ -107,8 +103,7 @@
     stored: StoredObject | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Write:
+class Write(msgspec.Struct, frozen=True):
     """One attempt to store a value.
 
     Parameters
--- a/acaciamoor/replica/peers.py
+++ b/acaciamoor/replica/peers.py
@@ -8,16 +8,16 @@
 """
 
 import collections.abc
-import dataclasses
 import datetime
 import itertools
 
+import msgspec
+
 from acaciamoor import hashing
 from acaciamoor import model
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Peer:
+class Peer(msgspec.Struct, frozen=True):
     """Another host.
 
     Parameters
@@ -38,8 +38,7 @@
     link_mbps: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerSettings:
+class PeerSettings(msgspec.Struct, frozen=True):
     """When relays are used.
 
     Parameters
--- a/acaciamoor/replica/replica.py
+++ b/acaciamoor/replica/replica.py
@@ -2,9 +2,10 @@
 
 import collections
 import collections.abc
-import dataclasses
 import datetime
 
+import msgspec
+
 from acaciamoor import platform
 
 # Changes that are kept for hosts that fell behind; a host that is further
@@ -12,8 +13,7 @@
 _KEPT_EVENTS = 2048
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Batch:
+class Batch(msgspec.Struct, frozen=True):
     """Changes of a collection from one version to another.
 
     Parameters
--- a/acaciamoor/settings/parser.py
+++ b/acaciamoor/settings/parser.py
@@ -2,11 +2,12 @@
 
 import argparse
 import collections.abc
-import dataclasses
 import os
 import sys
 import typing
 
+import msgspec
+
 import acaciamoor
 from acaciamoor import findings
 from acaciamoor.settings import flags as declarations
@@ -17,8 +18,7 @@
 Raw = str | bool | list[str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Command:
+class Command(msgspec.Struct, frozen=True):
     """A subcommand with its own flags."""
 
     name: str
@@ -143,8 +143,7 @@
         return vars(namespace)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Source:
+class _Source(msgspec.Struct, frozen=True):
     place: str
     raw: Raw
 
--- a/acaciamoor/telemetry/logs.py
+++ b/acaciamoor/telemetry/logs.py
@@ -1,6 +1,5 @@
 """Structured log lines, as JSON or text."""
 
-import dataclasses
 import datetime
 import logging
 import sys
@@ -28,8 +27,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fields:
+class Fields(msgspec.Struct, frozen=True):
     """Fields that every log line of a process has."""
 
     program: str
@@ -42,7 +40,7 @@
         super().__init__()
         self._fields = {
             name: value
-            for name, value in dataclasses.asdict(fields).items()
+            for name, value in msgspec.structs.asdict(fields).items()
             if value
         }
 
--- a/acaciamoor/tests/test_core_imports.py
+++ b/acaciamoor/tests/test_core_imports.py
@@ -45,6 +45,16 @@
     ]
 )
 
+# Packages that only hosts of the data path load. They use msgspec's structs:
+# the methods of a data class are generated at each start of a process.
+DATA_PATH_PACKAGES = (
+    'directory',
+    'forwarder',
+    'openings',
+    'replica',
+    'tokens',
+)
+
 
 def imported_modules(path: pathlib.Path) -> set[str]:
     """Return the top-level names of all modules that `path` imports."""
@@ -85,3 +95,12 @@
         )
         loaded = set(ended.stdout.split())
         self.assertEqual(set(), loaded & HEAVY)
+
+    def test_data_path_generates_no_code_at_its_start(self):
+        """Guards against data classes that delay hosts which start."""
+        for package in DATA_PATH_PACKAGES:
+            for path in sorted((PACKAGE / package).rglob('*.py')):
+                if 'tests' in path.relative_to(PACKAGE).parts:
+                    continue
+                with self.subTest(path=str(path.relative_to(PACKAGE))):
+                    self.assertNotIn('dataclasses', imported_modules(path))
--- a/deploy/stage.py
+++ b/deploy/stage.py
@@ -1,4 +1,4 @@
-"""Copies the packages of the hosts' program into a folder.
+"""Puts the hosts' program and a link to its interpreter in place.
 
 Files are replaced one by one and only where they differ, so that processes
 that start from the folder meanwhile never find a module missing.
@@ -38,9 +38,26 @@
     partial.replace(target)
 
 
+def link_interpreter(link: pathlib.Path) -> None:
+    """Make `link` lead to the interpreter that runs this build.
+
+    The `python3` of a version manager is a script that looks for the
+    interpreter first, which costs every start of a host about 50 ms of
+    processor time.
+    """
+    interpreter = pathlib.Path(sys.executable).resolve()
+    if link.is_symlink() and link.readlink() == interpreter:
+        return
+    link.parent.mkdir(parents=True, exist_ok=True)
+    partial = link.with_name(f'.{link.name}.{os.getpid()}')
+    partial.symlink_to(interpreter)
+    partial.replace(link)
+
+
 def main() -> int:
     """Stage all packages into the folder that is given."""
     target = pathlib.Path(sys.argv[1])
+    link_interpreter(target.parent / 'python')
     for package in PACKAGES:
         source = pathlib.Path(package)
         stage(source, target / source.name)
