--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEED ?= 1
 SEEDS ?= 1
 SECONDS ?= 20
-SIZE ?= 4
+SIZE ?= 7
 
 $(STAMP): requirements.txt requirements-dev.txt constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
