Model the placement of flows at a crest with different knowledge of load

Question: does it pay to exchange loads between hosts, which each see a seventh or a seventieth of them? The model replays a crest and a shortage on the product's own placer and load book.

--- a/acaciamoor/load/catalogue.py
+++ b/acaciamoor/load/catalogue.py
@@ -5,12 +5,14 @@
 from acaciamoor.load.scenarios import configuration
 from acaciamoor.load.scenarios import flows
 from acaciamoor.load.scenarios import membership
+from acaciamoor.load.scenarios import openings
 from acaciamoor.load.scenarios import placement
 from acaciamoor.load.scenarios import throughput
 
 _MODULES = (
     flows,
     placement,
+    openings,
     membership,
     configuration,
     balancers,
