Let one relay of a data centre watch the store

Cause: both relays of each data centre and every host with listeners watched the store, each host watched it while it waited for its relays at the start, and a host that found an empty host list read it again only after a second.

Only the first relay watches now. The second one and the listeners make a single call that returns at once when their copy grows old: at 0.55 and 0.65 of the bound of a change.

Ruled out: a single relay without a second one, since all listeners would call when it is cut off.

Real hosts on loopback show that one host calls for eight, and that a change arrives in time if the first relay, the second one or both are cut off.

--- a/acaciamoor/forwarder/shell/__init__.py
+++ b/acaciamoor/forwarder/shell/__init__.py
@@ -3,5 +3,11 @@
 from acaciamoor.forwarder.shell.limits import FollowingSettings
 from acaciamoor.forwarder.shell.process import ForwarderProcess
 from acaciamoor.forwarder.shell.process import ProcessSettings
+from acaciamoor.forwarder.shell.sources import StoreCalls
 
-__all__ = ['FollowingSettings', 'ForwarderProcess', 'ProcessSettings']
+__all__ = [
+    'FollowingSettings',
+    'ForwarderProcess',
+    'ProcessSettings',
+    'StoreCalls',
+]
--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -1,14 +1,11 @@
 """Keeps the collections of a host up to date, from relays or the store."""
 
 import asyncio
-import collections.abc
 import datetime
 import functools
 import logging
 import random
 
-import msgspec
-
 from acaciamoor import clock as clocks
 from acaciamoor import model
 from acaciamoor import platform
@@ -18,16 +15,12 @@
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import relay_link
 from acaciamoor.forwarder.shell import relay_server
-from acaciamoor.platform import watching
+from acaciamoor.forwarder.shell import sources
+from acaciamoor.forwarder.shell import tasks
 
 _LOG = logging.getLogger(__name__)
 
 
-class _Watch(msgspec.Struct, frozen=True):
-    transport: platform.Transport
-    task: asyncio.Task[None]
-
-
 class Following:
     """Owns the replicas and all their sources.
 
@@ -37,9 +30,9 @@
         How collections are followed.
     catalogue : Catalogue
         Kinds of the objects.
-    patient, frequent : Transport
-        Calls to the store with the limits `FollowingSettings.patient_calls`
-        and `FollowingSettings.frequent_calls`.
+    store : StoreCalls
+        Transports with the limits `patient_calls`, `frequent_calls` and
+        `prompt_calls` of the settings.
     adoption : Adoption
         Puts changes in force.
     clock : Clock
@@ -52,16 +45,14 @@
         self,
         settings: limits.FollowingSettings,
         catalogue: catalogues.Catalogue,
-        patient: platform.Transport,
-        frequent: platform.Transport,
+        store: sources.StoreCalls,
         adoption: adoptions.Adoption,
         clock: clocks.Clock,
         random_source: random.Random,
     ) -> None:
         self._settings = settings
         self._catalogue = catalogue
-        self._patient = patient
-        self._frequent = frequent
+        self._store = store
         self._adoption = adoption
         self._clock = clock
         self._random = random_source
@@ -73,18 +64,27 @@
         self._server = relay_server.RelayServer(
             settings.own.address, self._replicas_by_kind, clock
         )
-        self._starting = set(self._replicas_by_kind)
-        self._watches_by_kind: dict[str, _Watch] = {}
+        self._sources = [
+            sources.StoreSource(
+                replica,
+                store,
+                self._apply,
+                self._server.beat,
+                clock,
+                random_source,
+            )
+            for replica in self._replicas_by_kind.values()
+        ]
         self._links_by_peer: dict[replicas.Peer, asyncio.Task[None]] = {}
-        self._relaying = False
+        self._last_role = replicas.Role.ALONE
 
     async def run(self) -> None:
         """Follow until cancelled."""
         await self._server.start()
         try:
             async with asyncio.TaskGroup() as group:
-                for replica in self._replicas_by_kind.values():
-                    group.create_task(self._start(replica))
+                for source in self._sources:
+                    group.create_task(source.list_once())
                 group.create_task(self._follow_hosts())
                 group.create_task(self._beat())
                 group.create_task(self._review())
@@ -94,11 +94,10 @@
 
     def restart(self) -> None:
         """Give up all connections, which may be dead after a pause."""
-        for watch in self._watches_by_kind.values():
-            watch.task.cancel()
+        for source in self._sources:
+            source.cancel()
         for task in self._links_by_peer.values():
             task.cancel()
-        self._watches_by_kind.clear()
         self._links_by_peer.clear()
 
     def age(self) -> datetime.timedelta | None:
@@ -107,37 +106,11 @@
         ages = [item.age(now) for item in self._replicas_by_kind.values()]
         return None if None in ages else max(ages)
 
-    @property
-    def relaying(self) -> bool:
-        """Whether this host watches the store for others."""
-        return self._relaying
-
     @property
     def listeners(self) -> int:
         """Number of hosts that listen to this one."""
         return self._server.listeners
 
-    async def _start(self, replica: replicas.Replica) -> None:
-        # A listing that is seconds old costs a tenth. The first call for
-        # changes leads from its version to the newest one.
-        try:
-            listing = await self._patient.read_all(replica.kind, stale=True)
-        except platform.StoreError as error:
-            _LOG.warning('first listing of %s: %r', replica.kind, error)
-            return
-        finally:
-            self._starting.discard(replica.kind)
-        put = platform.EventType.PUT
-        events = tuple(
-            platform.WatchEvent(put, stored.version, stored)
-            for stored in listing.objects
-        )
-        self._apply(
-            replica,
-            replicas.Batch(0, listing.version, events, whole=True),
-            'store',
-        )
-
     def _apply(
         self, replica: replicas.Replica, batch: replicas.Batch, source: str
     ) -> None:
@@ -158,72 +131,21 @@
     async def _review(self) -> None:
         while True:
             now = self._clock.monotonic()
-            relays = self._peers.relays(now)
-            self._note_role(self._settings.own in relays)
-            for replica in self._replicas_by_kind.values():
-                self._review_watch(replica, bool(relays), now)
-            self._review_links(relays, now)
+            role = self._role(now)
+            for source in self._sources:
+                source.review(role, self._settings.age_limits, now)
+            self._review_links(self._peers.relays(now), now)
             await asyncio.sleep(limits.REVIEW_INTERVAL.total_seconds())
 
-    def _note_role(self, relaying: bool) -> None:
-        relaying = relaying or bool(self._server.listeners)
-        if relaying != self._relaying:
-            self._relaying = relaying
-            _LOG.info('%s relaying', 'started' if relaying else 'stopped')
-
-    def _review_watch(
-        self,
-        replica: replicas.Replica,
-        has_relays: bool,
-        now: datetime.timedelta,
-    ) -> None:
-        if replica.kind in self._starting:
-            return
-        age = replica.age(now)
-        needed = (
-            not has_relays
-            or self._relaying
-            or age is None
-            or age > self._settings.age_limit
-        )
-        transport = self._frequent if has_relays else self._patient
-        watch = self._watches_by_kind.get(replica.kind)
-        if watch is not None and (
-            not needed or watch.task.done() or watch.transport != transport
-        ):
-            watch.task.cancel()
-            del self._watches_by_kind[replica.kind]
-            watch = None
-        if needed and watch is None:
-            self._watches_by_kind[replica.kind] = _Watch(
-                transport, _spawn(self._watch(replica, transport))
-            )
-
-    async def _watch(
-        self, replica: replicas.Replica, transport: platform.Transport
-    ) -> None:
-        base = replica.version
-        watch = watching.ResumingWatch(
-            transport,
-            replica.kind,
-            base,
-            platform.Backoff(
-                self._random, limits.FIRST_WAIT, limits.LONGEST_WAIT
-            ),
-            platform.backoff.sleep,
-            replica.names,
-        )
-        events: list[platform.WatchEvent] = []
-        async for event in watch.events():
-            if event.event_type is not platform.EventType.BOOKMARK:
-                events.append(event)
-                continue
-            batch = replicas.Batch(
-                base, event.version, tuple(events), whole=not replica.known
-            )
-            self._apply(replica, batch, 'store')
-            replica.confirm(event.version, self._clock.monotonic())
-            base, events = event.version, []
+    def _role(self, now: datetime.timedelta) -> replicas.Role:
+        role = self._peers.role(now)
+        if role is replicas.Role.LISTENER and self._server.listeners:
+            # Other hosts take this one for a relay.
+            role = replicas.Role.STANDBY
+        if role != self._last_role:
+            _LOG.info('this host is %s now', role.value)
+            self._last_role = role
+        return role
 
     def _review_links(
         self, relays: tuple[replicas.Peer, ...], now: datetime.timedelta
@@ -235,7 +157,7 @@
         for peer in self._links_by_peer.keys() - wanted:
             self._links_by_peer.pop(peer).cancel()
         for peer in wanted - self._links_by_peer.keys():
-            self._links_by_peer[peer] = _spawn(self._listen(peer))
+            self._links_by_peer[peer] = tasks.spawn(self._listen(peer))
 
     def _seed_peers(self) -> list[replicas.Peer]:
         own = self._settings.own
@@ -291,7 +213,7 @@
         interval = limits.FIRST_HOSTS_INTERVAL
         while True:
             try:
-                listing = await self._patient.read_all(
+                listing = await self._store.patient.read_all(
                     self._catalogue.hosts_kind, stale=True
                 )
                 registered = registered or await self._register(listing)
@@ -300,6 +222,8 @@
                 _LOG.info('host list: %r', error)
                 await asyncio.sleep(limits.HOSTS_RETRY.total_seconds())
                 continue
+            if self._peers.relays(self._clock.monotonic()):
+                interval = max(interval, limits.NEXT_HOSTS_INTERVAL)
             jitter = 0.5 + self._random.random()
             await asyncio.sleep(interval.total_seconds() * jitter)
             interval = min(2 * interval, limits.HOSTS_INTERVAL)
@@ -321,7 +245,7 @@
             self._catalogue.hosts_kind, own.host_id, value, (), version
         )
         try:
-            await self._patient.write(write)
+            await self._store.patient.write(write)
         except platform.Conflict:
             # The listing was stale; the next one tells.
             return False
@@ -339,19 +263,6 @@
         replica.confirm(version, now - age)
 
 
-def _spawn(
-    work: collections.abc.Coroutine[object, object, None],
-) -> asyncio.Task[None]:
-    task = asyncio.create_task(work)
-    task.add_done_callback(_log_failure)
-    return task
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _LOG.error('a task has failed', exc_info=task.exception())
-
-
 @functools.singledispatch
 def _take(
     message: replicas.Message,
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -13,7 +13,6 @@
 from acaciamoor import clock as clocks
 from acaciamoor import directory as directories
 from acaciamoor import model
-from acaciamoor import platform
 from acaciamoor import sockets
 from acaciamoor.forwarder import catalogue as catalogues
 from acaciamoor.forwarder import core as cores
@@ -25,6 +24,7 @@
 from acaciamoor.forwarder.shell import following as followings
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import observer
+from acaciamoor.forwarder.shell import sources
 from acaciamoor.telemetry import exposition
 
 _LOG = logging.getLogger(__name__)
@@ -76,7 +76,7 @@
         Addresses and limits.
     codec : PacketCodec
         Wire form of packets.
-    patient, frequent : Transport
+    store : StoreCalls
         Calls to the platform's store; see `Following`.
     catalogue : Catalogue
         Objects of the store that are followed.
@@ -92,8 +92,7 @@
         self,
         settings: ProcessSettings,
         codec: packets.PacketCodec,
-        patient: platform.Transport,
-        frequent: platform.Transport,
+        store: sources.StoreCalls,
         catalogue: catalogues.Catalogue,
         clock: clocks.Clock,
         random_source: random.Random,
@@ -119,8 +118,7 @@
         self._following = followings.Following(
             settings.following,
             catalogue,
-            patient,
-            frequent,
+            store,
             adoption.Adoption(catalogue, self._directory, self._core, clock),
             clock,
             random_source,
--- a/acaciamoor/forwarder/tests/test_following.py
+++ b/acaciamoor/forwarder/tests/test_following.py
@@ -13,6 +13,7 @@
 from acaciamoor import replica
 from acaciamoor.forwarder.shell import following as followings
 from acaciamoor.forwarder.shell import limits
+from acaciamoor.forwarder.shell import sources
 from acaciamoor.forwarder.tests import test_relay
 
 SECOND = datetime.timedelta(seconds=1)
@@ -108,8 +109,7 @@
                 own, tuple(seeds), 3 * SECOND, 4 * SECOND
             ),
             Catalogue(),
-            store,
-            store,
+            sources.StoreCalls(store, store, store),
             adoption,
             clock.SystemClock(),
             random.Random(1),
@@ -152,7 +152,11 @@
         its successor be sent, before the host counts as up to date.
         """
         settings = limits.FollowingSettings(None, (), 3 * SECOND, 4 * SECOND)
-        for call in (settings.patient_calls, settings.frequent_calls):
+        for call in (
+            settings.patient_calls,
+            settings.frequent_calls,
+            settings.prompt_calls,
+        ):
             latest = call.wait + call.call + limits.FIRST_WAIT
             self.assertLess(latest, settings.recovery_bound)
         self.assertLess(limits.LONGEST_WAIT, settings.recovery_bound)
@@ -165,8 +169,12 @@
             + limits.FIRST_WAIT
             + limits.BEAT_INTERVAL
         )
-        self.assertLess(usual, settings.age_limit)
-        latest = settings.age_limit + limits.REVIEW_INTERVAL
+        ages = settings.age_limits
+        self.assertLess(usual, ages.standby)
+        # The second relay refreshes its copy, and its message is on its way.
+        refreshed = ages.standby + limits.REVIEW_INTERVAL
+        self.assertLess(refreshed, ages.listener)
+        latest = ages.listener + limits.REVIEW_INTERVAL
         self.assertLess(latest + SECOND / 2, settings.change_bound)
 
 
--- a/acaciamoor/load/scenarios/opening_model.py
+++ b/acaciamoor/load/scenarios/opening_model.py
@@ -289,7 +289,7 @@
 
 
 class SharedLoad(OwnLoad):
-    """Baseline: hosts also tell each other their loads, several times a second.
+    """Baseline: hosts also tell each other their loads a few times a second.
 
     What a host hears is as old as the exchange, and all hosts hear the same.
     """
--- a/acaciamoor/replica/__init__.py
+++ b/acaciamoor/replica/__init__.py
@@ -12,10 +12,16 @@
 from acaciamoor.replica.peers import PeerSettings
 from acaciamoor.replica.replica import Batch
 from acaciamoor.replica.replica import Replica
+from acaciamoor.replica.sourcing import AgeLimits
+from acaciamoor.replica.sourcing import Calls
+from acaciamoor.replica.sourcing import needed_calls
+from acaciamoor.replica.sourcing import Role
 
 __all__ = [
+    'AgeLimits',
     'Batch',
     'Beat',
+    'Calls',
     'Hello',
     'Message',
     'MessageCodec',
@@ -25,5 +31,7 @@
     'PeerSettings',
     'Progress',
     'Replica',
+    'Role',
     'Update',
+    'needed_calls',
 ]
--- a/acaciamoor/replica/peers.py
+++ b/acaciamoor/replica/peers.py
@@ -1,7 +1,7 @@
 """Which hosts watch the store, and whom the others listen to.
 
-A host listens to the first hosts of its data centre in an order that all
-hosts agree on. These relays watch the store for the others, so that the
+A host listens to the first two hosts of its data centre in an order that all
+hosts agree on. The first one watches the store for the others, so that the
 number of calls grows with the data centres and not with the hosts. There is
 no election: a host that finds its relays silent goes on to the next ones or
 calls the store itself, and it is harmless if several hosts act as relays.
@@ -15,6 +15,7 @@
 
 from acaciamoor import hashing
 from acaciamoor import model
+from acaciamoor.replica import sourcing
 
 
 class Peer(msgspec.Struct, frozen=True):
@@ -44,8 +45,8 @@
     Parameters
     ----------
     relays : int
-        Relays that each host listens to. Two, so that a relay that is cut off
-        from the store keeps nothing from its listeners.
+        Relays that each host listens to. Two, so that the second one notices
+        if the first one is cut off from the store.
     smallest_data_centre : int
         Hosts from which on relays are used. Relays ask the store once a
         second, direct watches only at changes; below six hosts relays save no
@@ -129,9 +130,16 @@
         )
         return tuple(itertools.islice(usable, self._settings.relays))
 
-    def is_relay(self, now: datetime.timedelta) -> bool:
-        """Return whether this host watches the store for others."""
-        return self._own in self.relays(now)
+    def role(self, now: datetime.timedelta) -> sourcing.Role:
+        """Return the place of this host in the order."""
+        relays = self.relays(now)
+        if not relays:
+            return sourcing.Role.ALONE
+        if relays[0] == self._own:
+            return sourcing.Role.RELAY
+        if self._own in relays:
+            return sourcing.Role.STANDBY
+        return sourcing.Role.LISTENER
 
 
 def _rank(peer: Peer) -> tuple[float, int]:
