Pass versions without changes on to listeners

Cause: the store counts versions over all collections. When a change of the routes led the relay's copy of the upstreams to a new version without any event, its listeners stayed at the older version, and beats about the newer one confirmed nothing: all listeners called the store until an upstream changed.

A relay now publishes every new version, also without events.

--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -117,7 +117,9 @@
         base = replica.version
         events = replica.apply(batch)
         self._adoption.take(replica, events, source)
-        if events:
+        if replica.version != base:
+            # Also without events: listeners that stay at an older version
+            # would find it unconfirmed.
             self._server.publish(
                 replica.kind,
                 replicas.Batch(base, replica.version, tuple(events)),
--- a/acaciamoor/forwarder/tests/test_data_centre.py
+++ b/acaciamoor/forwarder/tests/test_data_centre.py
@@ -36,11 +36,11 @@
         self.calls_by_id = collections.Counter()
         self.changed = asyncio.Condition()
 
-    async def put(self, name: str) -> None:
-        """Write an upstream."""
+    async def put(self, name: str, kind: str = UPSTREAMS) -> None:
+        """Write an object."""
         self.version += 1
-        event = test_following.put(UPSTREAMS, name, self.version)
-        self.written[UPSTREAMS].append(event)
+        event = test_following.put(kind, name, self.version)
+        self.written[kind].append(event)
         async with self.changed:
             self.changed.notify_all()
 
@@ -170,6 +170,18 @@
         await self.world.put('desk-1')
         await self.adopted_by_all('desk-1')
 
+    async def test_change_of_one_collection_confirms_the_other(self):
+        """Guards against listeners that call because nothing has changed.
+
+        The store counts versions over all collections, so a change of the
+        routes leads the upstreams to a new version as well.
+        """
+        await self.world.put('main', kind=test_following.ROUTES)
+        await self.adopted_by_all('main')
+        self.world.calls_by_id.clear()
+        await asyncio.sleep(BOUND.total_seconds())
+        self.assertEqual({self.relays[0]}, set(self.world.calls_by_id))
+
     async def test_relay_that_is_cut_off_hides_no_change(self):
         """Guards against a first relay that holds back what it cannot see.
 
