--- a/acaciamoor/load/scenarios/openings.py
+++ b/acaciamoor/load/scenarios/openings.py
@@ -4,6 +4,7 @@
 import functools
 
 from acaciamoor.load import measurement
+from acaciamoor.load.scenarios import opening_choices
 from acaciamoor.load.scenarios import opening_model
 from acaciamoor.load.scenarios import registry
 
@@ -16,11 +17,11 @@
 
 Build = collections.abc.Callable[[int, int, int], opening_model.Chooser]
 BUILDS_BY_NAME: dict[str, Build] = {
-    'own load': opening_model.OwnLoad,
-    'random': opening_model.RandomChoice,
-    'shared every 200 ms': opening_model.SharedLoad,
+    'own load': opening_choices.OwnLoad,
+    'random': opening_choices.RandomChoice,
+    'shared every 200 ms': opening_choices.SharedLoad,
     'one table for all hosts': functools.partial(
-        opening_model.OwnLoad, one_table=True
+        opening_choices.OwnLoad, one_table=True
     ),
 }
 
