--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,8 @@
 SEEDS ?= 1
 SECONDS ?= 20
 SIZE ?= 7
+# Guard of the forwarders that the soak switches off; it must fail then.
+WITHOUT ?=
 
 $(STAMP): requirements.txt requirements-dev.txt constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -31,7 +33,8 @@
 
 soak: $(STAMP)
 	PYTHONPATH=.:platform $(BIN)/python -m acaciamoor_site.soak \
-		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --size $(SIZE)
+		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --size $(SIZE) \
+		$(if $(WITHOUT),--without $(WITHOUT))
 
 demo: $(STAMP)
 	$(BIN)/python -m acaciamoor.demo
