--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.requirements
+# Compiled libraries fit one processor architecture and one Python version.
+KIND := $(shell $(PYTHON) -c "import platform, sys; \
+	print(platform.machine(), *sys.version_info[:3], sep='-')")
+STAMP := $(VENV)/.requirements-$(KIND)
 
 .PHONY: demo test lint unit fuzz soak bench capacity format generate
 
@@ -13,7 +16,7 @@
 WITHOUT ?=
 
 $(STAMP): requirements.txt requirements-dev.txt constraints.txt
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	test -e $@ -a -x $(BIN)/python || $(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
 		-r requirements-dev.txt -c constraints.txt
 	touch $@
