Use one connection for each call, so that no late second copy is an answer

Cause: HTTP/1.1 matches responses by order. A second copy of a response, at once, while the connection was idle or after the next request, became the answer to the next call: to the store (LongPollTransport) and to the health and load endpoints of upstreams. Ruled out: detecting surplus bytes before the next request, which misses a copy that arrives after it. The test of an idle connection that the server closed is replaced: all three reads must succeed now, the second one failed before.

--- a/acaciamoor/balancer/shell/upstream_poller.py
+++ b/acaciamoor/balancer/shell/upstream_poller.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections.abc
 import datetime
+import logging
+import typing
 
 import aiohttp
 import msgspec
@@ -11,6 +13,7 @@
 import acaciamoor.clock as clocks
 import acaciamoor.model as model
 
+_LOG = logging.getLogger(__name__)
 POLL_INTERVAL = datetime.timedelta(milliseconds=500)
 POLL_TIMEOUT = datetime.timedelta(milliseconds=400)
 EventHandler = collections.abc.Callable[[cores.Event], None]
@@ -19,7 +22,7 @@
 class _Load(msgspec.Struct):
     """Response of the load endpoint; other fields are ignored."""
 
-    busy: int
+    busy: typing.Annotated[int, msgspec.Meta(ge=0)]
 
 
 _LOAD_DECODER = msgspec.json.Decoder(_Load)
@@ -55,7 +58,11 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT.total_seconds())
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        # On a reused connection, a second copy of a response would be taken
+        # for the response to the next request.
+        async with aiohttp.ClientSession(
+            timeout=timeout, connector=aiohttp.TCPConnector(force_close=True)
+        ) as session:
             while True:
                 await asyncio.gather(
                     *(
@@ -79,9 +86,10 @@
                 healthy = response.status == 200
             async with session.get(f'{url}/load') as response:
                 running = _LOAD_DECODER.decode(await response.read()).busy
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
-            # Without a load report, the placer relies on its own observations.
-            pass
+        except Exception as error:
+            # Whatever an upstream answers must not affect the others. Without
+            # a load report, the placer relies on its own observations.
+            _LOG.debug('polling upstream %s: %r', upstream.upstream_id, error)
         self._post(
             cores.UpstreamPolled(
                 service_id,
--- a/acaciamoor/platform/connection.py
+++ b/acaciamoor/platform/connection.py
@@ -58,30 +58,51 @@
 
 
 class _ResponseHandler:
-    """Handler of the parser's callbacks that collects one response."""
+    """Collects the first response on a connection from parser callbacks.
+
+    What follows it, for example a second copy of the response, is ignored.
+    """
 
     def __init__(self) -> None:
-        self.complete = False
-        self.retry_after = ''
+        self.response: Response | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._retry_after = ''
         self._chunks: list[bytes] = []
 
+    def feed(self, data: bytes) -> None:
+        """Parse received data.
+
+        Raises
+        ------
+        ConnectionError
+            If the data is not an HTTP response.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if self.response is None:
+                raise ConnectionError(
+                    f'malformed HTTP response: {error}'
+                ) from error
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b'retry-after':
-            self.retry_after = value.decode('latin-1')
+            self._retry_after = value.decode('latin-1')
 
     def on_body(self, data: bytes) -> None:
         self._chunks.append(data)
 
     def on_message_complete(self) -> None:
-        self.complete = True
-
-    @property
-    def body(self) -> bytes:
-        return b''.join(self._chunks)
+        if self.response is None:
+            self.response = Response(
+                self._parser.get_status_code(),
+                self._retry_after,
+                b''.join(self._chunks),
+            )
 
 
 class HttpConnection:
-    """Client connection that carries one request at a time.
+    """Client connection for one request.
 
     Parameters
     ----------
@@ -128,8 +149,8 @@
             If the connection breaks, or if the response takes longer than
             `timeout` or is not HTTP. The request may have taken effect.
         """
-        # Writing to a closed transport is an error, so an idle connection
-        # that the platform has closed must be detected before the write.
+        # Writing to a closed transport is an error, so a connection that the
+        # platform has closed must be detected before the write.
         if (
             self._reader is None
             or self._writer is None
@@ -149,23 +170,15 @@
 
     async def _read_response(self, reader: asyncio.StreamReader) -> Response:
         handler = _ResponseHandler()
-        parser = httptools.HttpResponseParser(handler)
-        while not handler.complete:
+        while handler.response is None:
             data = await reader.read(_READ_BYTES)
             if not data:
                 raise ConnectionError(
                     'the server closed the connection before the response '
                     'was complete'
                 )
-            try:
-                parser.feed_data(data)
-            except httptools.HttpParserError as error:
-                raise ConnectionError(
-                    f'malformed HTTP response: {error}'
-                ) from error
-        return Response(
-            parser.get_status_code(), handler.retry_after, handler.body
-        )
+            handler.feed(data)
+        return handler.response
 
 
 def _enable_keepalive(
--- a/acaciamoor/platform/polling.py
+++ b/acaciamoor/platform/polling.py
@@ -12,9 +12,6 @@
 from acaciamoor.platform import objects
 from acaciamoor.platform import statuses
 
-# Idle connections kept for reuse: one per watch, and one for other requests.
-_MAX_IDLE_CONNECTIONS = 3
-
 
 class LongPollSettings(msgspec.Struct, frozen=True):
     """Timeouts of requests and settings of their connections.
@@ -52,8 +49,11 @@
 
     Notes
     -----
-    Each write uses a new connection: on a reused one, the outcome of a write
-    is unknown if the platform closes the idle connection at the same time.
+    Each request uses a new connection. HTTP/1.1 matches responses to requests
+    by their order alone, so on a reused connection a second copy of a
+    response would be taken for the response to the next request. The outcome
+    of a write would also be unknown if the platform closed the idle connection
+    at the same time.
     """
 
     def __init__(
@@ -65,15 +65,8 @@
         self._address = address
         self._dialect = dialect
         self._settings = settings or LongPollSettings()
-        self._idle_connections: list[connections.HttpConnection] = []
         self._host_header = f'Host: {address}\r\n'
 
-    def close(self) -> None:
-        """Close all idle connections."""
-        for connection in self._idle_connections:
-            connection.close()
-        self._idle_connections.clear()
-
     async def read(self, kind: str, name: str) -> objects.StoredObject:
         """Return an object."""
         body = await self._read(self._dialect.read(kind, name))
@@ -147,34 +140,17 @@
         request: dialects.Request,
         poll_timeout: datetime.timedelta = datetime.timedelta(0),
     ) -> bytes:
-        connection = (
-            self._idle_connections.pop()
-            if self._idle_connections
-            else await self._connect()
-        )
         response = await self._send_request(
-            connection,
             request,
             poll_timeout + self._settings.response_timeout,
             errors.Unavailable,
         )
-        if len(self._idle_connections) < _MAX_IDLE_CONNECTIONS:
-            self._idle_connections.append(connection)
-        else:
-            connection.close()
         return _checked_body(response, request, errors.Unavailable)
 
     async def _write(self, request: dialects.Request) -> bytes:
-        connection = await self._connect()
-        try:
-            response = await self._send_request(
-                connection,
-                request,
-                self._settings.response_timeout,
-                errors.OutcomeUnknown,
-            )
-        finally:
-            connection.close()
+        response = await self._send_request(
+            request, self._settings.response_timeout, errors.OutcomeUnknown
+        )
         # Statuses 503 and 429 guarantee that the write had no effect.
         if response.status == 503:
             raise errors.Unavailable(request.name)
@@ -196,28 +172,25 @@
 
     async def _send_request(
         self,
-        connection: connections.HttpConnection,
         request: dialects.Request,
         timeout: datetime.timedelta,
         error_class: type[errors.StoreError],
     ) -> connections.Response:
+        connection = await self._connect()
         try:
             return await connection.send_request(
                 self._encode(request), timeout
             )
         except TimeoutError as error:
-            connection.close()
             if error_class is errors.Unavailable:
                 error_class = errors.TimedOut
             raise error_class(
                 f'{request.name}: no response within {timeout}'
             ) from error
         except OSError as error:
-            connection.close()
             raise error_class(f'{request.name}: {error!r}') from error
-        except BaseException:
+        finally:
             connection.close()
-            raise
 
     def _encode(self, request: dialects.Request) -> bytes:
         headers = (
--- a/acaciamoor/platform/tests/test_polling.py
+++ b/acaciamoor/platform/tests/test_polling.py
@@ -1,4 +1,4 @@
-"""Tests of requests over reused, broken and unresponsive connections."""
+"""Tests of requests over broken and unresponsive connections."""
 
 import asyncio
 import datetime
@@ -18,7 +18,7 @@
 
 
 class StubDialect:
-    """Minimal requests, and responses whose content is ignored."""
+    """Minimal requests; the body of a response becomes an object's name."""
 
     def read(self, kind, name):
         return dialect.Request('GET', f'/{kind}/{name}', name)
@@ -27,7 +27,7 @@
         return dialect.Request('PUT', f'/{write.kind}', write.name, b'{}')
 
     def decode_stored(self, kind, body):
-        return platform.StoredObject(kind, 'a', 1, {})
+        return platform.StoredObject(kind, body.decode(), 1, {})
 
 
 class LongPollTransportTest(unittest.IsolatedAsyncioTestCase):
@@ -43,16 +43,14 @@
         server = await asyncio.start_server(handler, '127.0.0.1', 0)
         self.addCleanup(server.close)
         address = model.Address(*server.sockets[0].getsockname())
-        transport = polling.LongPollTransport(
+        return polling.LongPollTransport(
             address,
             StubDialect(),
             polling.LongPollSettings(response_timeout=TIMEOUT),
         )
-        self.addCleanup(transport.close)
-        return transport
 
-    async def test_idle_connection_closed_by_server(self):
-        """Guards against an event loop error that ends the caller's task."""
+    async def test_connection_closed_after_each_response(self):
+        """Guards against a request on a connection that the server closed."""
 
         async def respond_once(reader, writer):
             await reader.readuntil(b'\r\n\r\n')
@@ -61,11 +59,43 @@
             writer.transport.abort()
 
         transport = await self.start(respond_once)
-        await transport.read('desk', 'a')
-        await asyncio.sleep(0.05)
-        with self.assertRaises(platform.Unavailable):
+        for _ in range(3):
             await transport.read('desk', 'a')
-        await transport.read('desk', 'a')
+            await asyncio.sleep(0.05)
+
+    async def test_second_copy_of_a_response_is_not_the_next_response(self):
+        """Guards against a response that belongs to another request.
+
+        The server sends each response twice: the second copy at once, while
+        the connection is idle, or after the next request was sent.
+        """
+        for delays in ((0.0,), (0.02,), (0.06,), (0.0, 0.02)):
+
+            async def respond_twice(reader, writer, delays=delays):
+                while True:
+                    try:
+                        request = await reader.readuntil(b'\r\n\r\n')
+                    except asyncio.IncompleteReadError:
+                        break
+                    name = request.split()[1].rpartition(b'/')[2]
+                    response = (
+                        b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s'
+                        % (len(name), name)
+                    )
+                    writer.write(response)
+                    for delay in delays:
+                        if delay:
+                            await asyncio.sleep(delay)
+                        writer.write(response)
+                writer.close()
+
+            transport = await self.start(respond_twice)
+            for number in range(3):
+                with self.subTest(delays=delays, number=number):
+                    name = f'desk-{number}'
+                    stored = await transport.read('desk', name)
+                    self.assertEqual(name, stored.name)
+                await asyncio.sleep(0.03)
 
     async def test_send_request_on_closed_transport(self):
         """Guards against an event loop error that ends the caller's task.
