Keep processes up at malformed input and unexpected errors

Cause: an upstream entry whose `born` is 1e20 raised OSError, and one nested deeper than the parser allows RecursionError; each ended every host at every start. A load report nested as deeply ended the balancer, with exit code 0. A malformed host entry kept all balancers from reading the host list. A heartbeat with an age that is no number ended the link task without a back-off. Tasks are now supervised: a failure is logged and the task starts again.

--- a/acaciamoor/balancer/shell/driver.py
+++ b/acaciamoor/balancer/shell/driver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import logging
 
 import reactivex
 from reactivex import subject
@@ -9,6 +10,7 @@
 from acaciamoor import sockets
 from acaciamoor.balancer import core as cores
 
+_LOG = logging.getLogger(__name__)
 CALLER_DATAGRAM_BYTES = 2048
 PEER_DATAGRAM_BYTES = 65535
 _WAKE = cores.Wake()
@@ -40,6 +42,7 @@
         self.events: subject.Subject[cores.Event] = subject.Subject()
         self._effects: subject.Subject[cores.Effect] = subject.Subject()
         self.unsent_datagrams = 0
+        self.failed_events = 0
         self._caller_socket = caller_socket
         self._upstream_socket = upstream_socket
         self._peer_socket = peer_socket
@@ -65,7 +68,7 @@
         """Read one batch from the fabric and carry out its effects."""
         self._handle_event(_WAKE)
         batch, empty = self._caller_socket.read_batch()
-        self.carry_out(self.core.handle(cores.CallerDatagrams(batch)))
+        self._handle_event(cores.CallerDatagrams(batch))
         if empty:
             self._handle_event(cores.ChannelEmpty(cores.Channel.CALLER))
 
@@ -112,4 +115,9 @@
         self._effects.on_completed()
 
     def _handle_event(self, event: cores.Event) -> None:
-        self.carry_out(self.core.handle(event))
+        try:
+            self.carry_out(self.core.handle(event))
+        except Exception:
+            # The task or socket that the event came from must go on.
+            self.failed_events += 1
+            _LOG.exception('%s not handled', type(event).__name__)
--- a/acaciamoor/balancer/shell/metrics.py
+++ b/acaciamoor/balancer/shell/metrics.py
@@ -49,9 +49,14 @@
         )
     meter.create_observable_counter(
         _PREFIX + 'unsent_datagrams',
-        callbacks=[_unsent_callback(driver)],
+        callbacks=[_attribute_callback(driver, 'unsent_datagrams')],
         description='Datagrams that the operating system did not take.',
     )
+    meter.create_observable_counter(
+        _PREFIX + 'internal_errors',
+        callbacks=[_attribute_callback(driver, 'failed_events')],
+        description='Events that the program failed to handle.',
+    )
     for gauge in cores.Gauge:
         meter.create_observable_gauge(
             _PREFIX + gauge.title,
@@ -104,11 +109,13 @@
     return observe
 
 
-def _unsent_callback(driver: drivers.Driver) -> MetricCallback:
+def _attribute_callback(
+    driver: drivers.Driver, attribute: str
+) -> MetricCallback:
     def observe(
         _: metrics.CallbackOptions,
     ) -> collections.abc.Iterable[metrics.Observation]:
-        yield metrics.Observation(driver.unsent_datagrams)
+        yield metrics.Observation(getattr(driver, attribute))
 
     return observe
 
--- a/acaciamoor/balancer/shell/platform_task.py
+++ b/acaciamoor/balancer/shell/platform_task.py
@@ -13,6 +13,7 @@
 from acaciamoor.model import documents
 from acaciamoor.model import status as statuses
 import acaciamoor.platform as platform
+import acaciamoor.supervision as supervision
 
 LOG = logging.getLogger(__name__)
 RETRY_INTERVAL = datetime.timedelta(seconds=1)
@@ -69,9 +70,12 @@
         """Read hosts and services until cancelled."""
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._poll_hosts())
-                group.create_task(self._load_services())
-                group.create_task(self._repair_divergence())
+                for name, run in (
+                    ('reading the host list', self._poll_hosts),
+                    ('reading the services', self._load_services),
+                    ('repairing divergence', self._repair_divergence),
+                ):
+                    group.create_task(supervision.supervise(name, run))
         finally:
             for task in (self._watch_task, self._status_task):
                 if task is not None:
@@ -83,14 +87,16 @@
             self._watch_task.cancel()
             self._watch_task = None
         if active:
-            self._watch_task = asyncio.create_task(self._watch_services())
+            self._watch_task = asyncio.create_task(
+                supervision.supervise(
+                    'watching the services', self._watch_services
+                )
+            )
 
     def write_status(self, version: int) -> None:
         """Write the version in force, unless a write is in progress."""
         if self._status_task is None or self._status_task.done():
-            self._status_task = asyncio.create_task(
-                self._write_status(version)
-            )
+            self._status_task = supervision.spawn(self._write_status(version))
 
     async def _poll_hosts(self) -> None:
         while True:
@@ -100,7 +106,7 @@
                     self._store, self._data_centre
                 )
                 self._post(cores.HostsListed(_hosts(listed)))
-            except (platform.StoreError, findings.FindingsError) as error:
+            except platform.StoreError as error:
                 LOG.warning('the host list cannot be read: %s', error)
                 interval = RETRY_INTERVAL
             await asyncio.sleep(interval.total_seconds())
--- a/acaciamoor/balancer/shell/process.py
+++ b/acaciamoor/balancer/shell/process.py
@@ -22,6 +22,7 @@
 import acaciamoor.clock as clocks
 import acaciamoor.model as model
 import acaciamoor.platform as platform
+import acaciamoor.supervision as supervision
 import acaciamoor.telemetry as telemetry
 
 LOG = logging.getLogger('acaciamoor.balancer')
@@ -91,7 +92,7 @@
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
-        """Serve until a graceful shutdown has ended or a task has failed.
+        """Serve until a graceful shutdown has ended.
 
         Raises
         ------
@@ -173,12 +174,12 @@
                 stopped=self._stopped,
             )
         )
-        for coroutine in (
-            platform_connection.run(),
-            poller.run(),
-            _run_ticks(driver),
+        for name, run in (
+            ('the connection to the platform', platform_connection.run),
+            ('polling upstreams', poller.run),
+            ('the clock', functools.partial(_run_ticks, driver)),
         ):
-            _start_task(stack, coroutine, self._stopped)
+            _start_task(stack, supervision.supervise(name, run))
 
     def _handle_signals(
         self, loop: asyncio.AbstractEventLoop, driver: drivers.Driver
@@ -193,21 +194,14 @@
 
 def _start_task(
     stack: contextlib.AsyncExitStack,
-    coroutine: collections.abc.Coroutine,
-    stopped: asyncio.Event,
+    coroutine: collections.abc.Coroutine[object, object, None],
 ) -> None:
-    task = asyncio.create_task(coroutine)
-
-    def on_done(done: asyncio.Task) -> None:
-        if not done.cancelled() and done.exception() is not None:
-            LOG.critical('a task failed', exc_info=done.exception())
-            stopped.set()
+    task = supervision.spawn(coroutine)
 
     async def end() -> None:
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
-    task.add_done_callback(on_done)
     stack.push_async_callback(end)
 
 
--- a/acaciamoor/forwarder/shell/adoption.py
+++ b/acaciamoor/forwarder/shell/adoption.py
@@ -71,7 +71,7 @@
         initial = not self._directory.entries_by_id
         for event in events:
             if event.stored is not None:
-                state = self._apply_upstream(event)
+                state = self._apply_upstream_safely(event)
                 if state and not initial:
                     _LOG.info(
                         'upstream is %s, learned from %s',
@@ -107,6 +107,21 @@
                 extra={'version': table.version},
             )
 
+    def _apply_upstream_safely(self, event: platform.WatchEvent) -> str:
+        # The replica has accepted the whole batch: events after one that fails
+        # would be lost for good.
+        try:
+            return self._apply_upstream(event)
+        except Exception:
+            _LOG.exception(
+                'upstream %s is not used: its entry cannot be processed',
+                event.stored.name,
+            )
+            self._directory.remove_upstream(
+                model.UpstreamId(event.stored.name), self._clock.monotonic()
+            )
+            return ''
+
     def _apply_upstream(self, event: platform.WatchEvent) -> str:
         """Apply a change; return the new state, empty if nothing changed."""
         now = self._clock.monotonic()
--- a/acaciamoor/forwarder/tests/test_adoption.py
+++ b/acaciamoor/forwarder/tests/test_adoption.py
@@ -22,6 +22,8 @@
     upstreams_kind = UPSTREAMS
 
     def decode_upstream(self, stored):
+        if stored.name == 'bad':
+            raise RecursionError('deep')
         return directory_builders.upstream_entry(stored.name, stored.version)
 
 
@@ -69,6 +71,14 @@
         self.assertEqual(3000, len(self.directory.entries_by_id))
         self.assertEqual(7, self.directory.revision)
 
+    def test_entries_after_one_that_fails_are_applied(self):
+        """Guards against changes that an unexpected error loses for good."""
+        self.apply('desk-1', 'bad', 'desk-2', version=7)
+        self.assertEqual(
+            {'desk-1', 'desk-2'}, set(self.directory.entries_by_id)
+        )
+        self.assertEqual(7, self.directory.revision)
+
     def test_each_later_change_writes_one_line(self):
         """Guards against changes that are missing from the log."""
         self.apply('desk-1', version=7)
--- a/acaciamoor/platform/hosts.py
+++ b/acaciamoor/platform/hosts.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import logging
 
 import pydantic
 
@@ -9,6 +10,7 @@
 from acaciamoor import model
 from acaciamoor.platform import objects
 
+_LOG = logging.getLogger(__name__)
 KIND = 'hosts'
 
 
@@ -92,11 +94,24 @@
     ------
     StoreError
         If the list cannot be read.
-    FindingsError
-        If an entry does not describe a valid host.
+
+    Notes
+    -----
+    Entries that do not describe a valid host are logged and left out. One such
+    entry must not keep all hosts from reading the list.
     """
     listing = await store.list(
         KIND, objects.FieldSelector('data_centre', data_centre)
     )
-    hosts = [parse_host(stored) for stored in listing.objects]
-    return HostList(listing.version, {host.host_id: host for host in hosts})
+    hosts_by_id = {}
+    for stored in listing.objects:
+        try:
+            host = parse_host(stored)
+        except findings.FindingsError as error:
+            _LOG.warning(
+                'ignoring a malformed host entry: %s',
+                '; '.join(str(finding) for finding in error.findings),
+            )
+        else:
+            hosts_by_id[host.host_id] = host
+    return HostList(listing.version, hosts_by_id)
--- a/acaciamoor/replica/messages.py
+++ b/acaciamoor/replica/messages.py
@@ -141,13 +141,24 @@
         """
         try:
             return self._decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise MessageError(str(error)) from error
 
 
 def decode_age(seconds: float) -> datetime.timedelta | None:
-    """Return the age that a message holds; None if it is unknown."""
-    return None if seconds < 0 else seconds * _SECOND
+    """Return the age that a message holds; None if it is unknown.
+
+    Raises
+    ------
+    MessageError
+        If `seconds` is not a number or too large.
+    """
+    if seconds < 0:
+        return None
+    try:
+        return seconds * _SECOND
+    except (ValueError, OverflowError) as error:
+        raise MessageError(f'age of {seconds} s is out of range') from error
 
 
 def _encode_event(event: platform.WatchEvent) -> ObjectState:
