Decide about new flows by how long packets have waited at the host

Cause: a busy host took two copies of an opening packet that it read together for the silence of an upstream, retried openings whose answers waited in its own socket, and could reset a flow that another host had opened meanwhile. It dropped openings while it had no lists or while the next upstream of a release had not registered, and kept callers of an empty service waiting for 1.4 s.

--- a/acaciamoor/forwarder/__init__.py
+++ b/acaciamoor/forwarder/__init__.py
@@ -9,6 +9,8 @@
 from acaciamoor.forwarder.effects import Placement
 from acaciamoor.forwarder.effects import Refusal
 from acaciamoor.forwarder.effects import RefusalReason
+from acaciamoor.forwarder.effects import Wait
+from acaciamoor.forwarder.effects import WaitReason
 from acaciamoor.forwarder.packet import Packet
 from acaciamoor.forwarder.packet import PacketCodec
 
@@ -24,4 +26,6 @@
     'Placement',
     'Refusal',
     'RefusalReason',
+    'Wait',
+    'WaitReason',
 ]
--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -14,11 +14,14 @@
 from acaciamoor.forwarder import packet as packets
 
 _NO_ROUTE = effects.Drop(effects.DropReason.NO_ROUTE)
-_NO_CONFIGURATION = effects.Drop(effects.DropReason.NO_CONFIGURATION)
+_NO_UPSTREAM = effects.Drop(effects.DropReason.NO_UPSTREAM)
 _NOT_FROM_CALLER = effects.Drop(effects.DropReason.NOT_FROM_CALLER)
 _UNKNOWN_TOKEN = effects.Drop(effects.DropReason.UNKNOWN_TOKEN)
-_NO_UPSTREAM = effects.Drop(effects.DropReason.NO_UPSTREAM)
 _OUTDATED = effects.Drop(effects.DropReason.OUTDATED)
+_DUPLICATE = effects.Drop(effects.DropReason.DUPLICATE)
+_WAIT_FOR_CONFIGURATION = effects.Wait(effects.WaitReason.NO_CONFIGURATION)
+_WAIT_FOR_UPSTREAM = effects.Wait(effects.WaitReason.NO_UPSTREAM)
+_ZERO = datetime.timedelta(0)
 
 
 class CoreSettings(msgspec.Struct, frozen=True):
@@ -36,6 +39,10 @@
     opening_lifetime : datetime.timedelta
         Time after which callers of the platform abandon an unanswered
         opening.
+    refusal_limit : datetime.timedelta
+        Age of a first opening packet above which the flow is not refused.
+        Callers retransmit after 200 ms, and the flow may since have been
+        opened through another host.
     pause_threshold : datetime.timedelta
         Gap between two events above which the process is taken to have been
         paused. Opening packets in the socket buffer are then out of date.
@@ -48,6 +55,7 @@
     opening_lifetime: datetime.timedelta = datetime.timedelta(
         milliseconds=1400
     )
+    refusal_limit: datetime.timedelta = datetime.timedelta(milliseconds=150)
     pause_threshold: datetime.timedelta = datetime.timedelta(milliseconds=1500)
     idle_timeout: datetime.timedelta = datetime.timedelta(seconds=15)
 
@@ -78,6 +86,8 @@
         self.failure_detector = openings.FailureDetector()
         self._flow_tracker = openings.FlowTracker(self.load_tracker)
         self._observations: list[effects.Observation] = []
+        # Services without upstreams, and since when.
+        self._empty_since_by_service: dict[str, datetime.timedelta] = {}
         self.placer = openings.OpeningPlacer(
             settings.data_centre,
             self.load_tracker,
@@ -86,11 +96,27 @@
         )
 
     def handle(
-        self, data: bytes, packet: packets.Packet, now: datetime.timedelta
+        self,
+        data: bytes,
+        packet: packets.Packet,
+        now: datetime.timedelta,
+        backlog: datetime.timedelta = _ZERO,
     ) -> effects.Decision:
-        """Return the decision about a packet from a caller."""
+        """Return the decision about a packet from a caller.
+
+        Parameters
+        ----------
+        data : bytes
+            Packet as received.
+        packet : Packet
+            Its header.
+        now : datetime.timedelta
+            Current time.
+        backlog : datetime.timedelta
+            Longest time for which the packet may have waited in the socket.
+        """
         if packet.opens:
-            return self._handle_opening(data, packet, now)
+            return self._handle_opening(data, packet, now, backlog)
         if packet.from_upstream:
             return _NOT_FROM_CALLER
         return self._handle_established(data, packet, now)
@@ -100,25 +126,30 @@
         oldest = self._pending.oldest
         if oldest is None:
             return None
-        return oldest.last_sent_at + self._settings.retry_timeout
+        return oldest.last_tried_at + self._settings.retry_timeout
 
     def retry_openings(
         self, now: datetime.timedelta
     ) -> list[effects.Decision]:
-        """Send unanswered opening packets to other upstreams."""
+        """Send unanswered opening packets to other upstreams.
+
+        All packets that wait in the socket must have been handled before:
+        the answer to an opening may be among them. Openings that wait for an
+        upstream are placed if there is one now.
+        """
         decisions: list[effects.Decision] = []
         due = now - self._settings.retry_timeout
         for opening in self._pending.older_than(due):
             self._pending.pop(opening.key)
-            if opening.retried:
+            if opening.retried or self._is_abandoned(opening, now):
                 # If two upstreams in a row seem silent, the caller has
                 # probably gone or its packets now reach another host.
                 continue
-            self._record_timeout(opening, now)
-            opening.retried = True
-            decision = self._place(opening, opening.packet, now)
-            if isinstance(decision, effects.Placement):
-                self._pending.put(opening)
+            if opening.tried_ids:
+                self._record_timeout(opening, now)
+                opening.retried = True
+            decision = self._place(opening, now)
+            if isinstance(decision, effects.Placement | effects.Refusal):
                 decisions.append(decision)
         return decisions
 
@@ -139,52 +170,65 @@
         self._directory.expire(now)
 
     def _handle_opening(
-        self, data: bytes, packet: packets.Packet, now: datetime.timedelta
+        self,
+        data: bytes,
+        packet: packets.Packet,
+        now: datetime.timedelta,
+        backlog: datetime.timedelta,
     ) -> effects.Decision:
-        if not self._directory.complete:
-            return _NO_CONFIGURATION
-        opening = self._pending.pop(packet.key)
+        settings = self._settings
+        opening = self._pending.get(packet.key)
         if opening is None:
-            route = self._directory.find_route(packet.key[2:])
-            if route is None:
-                return self._refuse_unknown_route(packet)
-            service = _choose_service(route, packet.key)
-            opening = openings.Opening(packet.key, data, now, service, [])
-        else:
-            self._record_timeout(opening, now)
-        decision = self._place(opening, data, now)
-        if isinstance(decision, effects.Placement):
-            self._pending.put(opening)
-        return decision
-
-    def _refuse_unknown_route(
-        self, packet: packets.Packet
-    ) -> effects.Decision:
-        # A retransmission may belong to a flow that is open by now.
-        if packet.acknowledged:
-            return _NO_ROUTE
-        return effects.Refusal(packet.key, effects.RefusalReason.NO_ROUTE)
+            opening = openings.Opening(packet.key, data, now)
+            # A retransmission may belong to a flow that is open by now.
+            if not packet.acknowledged:
+                opening.refusable_until = (
+                    now - backlog + settings.refusal_limit
+                )
+        elif opening.tried_ids:
+            silence = now - opening.last_tried_at
+            if silence < settings.retry_timeout:
+                # Both copies have waited in the socket.
+                return _DUPLICATE
+            if silence - backlog >= settings.retry_timeout:
+                self._record_timeout(opening, now)
+        opening.packet = data
+        return self._place(opening, now)
 
     def _place(
         self,
         opening: openings.Opening,
-        data: bytes,
         now: datetime.timedelta,
     ) -> effects.Decision:
+        """Send an opening packet to an upstream, keep it, or refuse it."""
+        if not self._directory.complete:
+            return self._wait(opening, now, _WAIT_FOR_CONFIGURATION)
         route = self._directory.find_route(opening.address)
-        if route is None or opening.service not in route.weights_by_service:
+        if route is None:
+            self._pending.pop(opening.key)
+            if _is_refusable(opening, now):
+                return effects.Refusal(
+                    opening.key, effects.RefusalReason.NO_ROUTE
+                )
+            return _OUTDATED if opening.tried_ids else _NO_ROUTE
+        if not opening.service:
+            opening.service = _choose_service(route, opening.key)
+        elif opening.service not in route.weights_by_service:
+            self._pending.pop(opening.key)
             return _OUTDATED
         candidates = self._candidates(opening, now)
         entry = self.placer.choose(
             candidates, route.kind, opening.tried_ids, now
         )
         if entry is None:
-            return _NO_UPSTREAM
+            return self._handle_empty_service(opening, now)
+        self._empty_since_by_service.pop(opening.service, None)
         opening.tried_ids.append(entry.upstream_id)
-        opening.last_sent_at = now
+        opening.last_tried_at = now
+        self._pending.put(opening)
         return effects.Placement(
             opening.key,
-            self._forward_to(opening.address, entry, data),
+            self._forward_to(opening.address, entry, opening.packet),
             opening.service,
             len(opening.tried_ids),
             opening.retried,
@@ -195,6 +239,39 @@
             ),
         )
 
+    def _handle_empty_service(
+        self,
+        opening: openings.Opening,
+        now: datetime.timedelta,
+    ) -> effects.Decision:
+        # While upstreams are replaced, the next one may register at any
+        # moment. A service that has been empty for as long as callers wait
+        # for an opening most likely stays empty for longer.
+        since = self._empty_since_by_service.setdefault(opening.service, now)
+        if now - since < self._settings.opening_lifetime:
+            return self._wait(opening, now, _WAIT_FOR_UPSTREAM)
+        self._pending.pop(opening.key)
+        if _is_refusable(opening, now):
+            return effects.Refusal(
+                opening.key, effects.RefusalReason.NO_UPSTREAM
+            )
+        return _NO_UPSTREAM
+
+    def _wait(
+        self,
+        opening: openings.Opening,
+        now: datetime.timedelta,
+        decision: effects.Wait,
+    ) -> effects.Wait:
+        opening.last_tried_at = now
+        self._pending.put(opening)
+        return decision
+
+    def _is_abandoned(
+        self, opening: openings.Opening, now: datetime.timedelta
+    ) -> bool:
+        return now - opening.received_at >= self._settings.opening_lifetime
+
     def _candidates(
         self, opening: openings.Opening, now: datetime.timedelta
     ) -> list[directories.UpstreamEntry]:
@@ -259,9 +336,7 @@
         now: datetime.timedelta,
     ) -> None:
         self._observations.append(
-            effects.HandshakeCompleted(
-                upstream_id, now - opening.first_sent_at
-            )
+            effects.HandshakeCompleted(upstream_id, now - opening.received_at)
         )
         if self.failure_detector.record_answer(upstream_id):
             self._observations.append(
@@ -271,7 +346,7 @@
     def _record_timeout(
         self, opening: openings.Opening, now: datetime.timedelta
     ) -> None:
-        silence = now - opening.last_sent_at
+        silence = now - opening.last_tried_at
         if silence >= self._settings.opening_lifetime:
             return
         upstream_id = opening.tried_ids[-1]
@@ -281,6 +356,11 @@
             )
 
 
+def _is_refusable(opening: openings.Opening, now: datetime.timedelta) -> bool:
+    """Return whether no upstream can have seen the flow."""
+    return now < opening.refusable_until and not opening.tried_ids
+
+
 def _choose_service(
     route: directories.Route, key: openings.pending.FlowKey
 ) -> str:
--- a/acaciamoor/forwarder/effects.py
+++ b/acaciamoor/forwarder/effects.py
@@ -15,17 +15,26 @@
 
     DAMAGED = 'damaged'
     NOT_FROM_CALLER = 'not_from_caller'
-    NO_CONFIGURATION = 'no_configuration'
     NO_ROUTE = 'no_route'
     UNKNOWN_TOKEN = 'unknown_token'  # noqa: S105
     NO_UPSTREAM = 'no_upstream'
     OUTDATED = 'outdated'
+    # The upstream has had no time yet to answer the previous copy.
+    DUPLICATE = 'duplicate'
 
 
 class RefusalReason(enum.Enum):
     """Reason for refusing a flow."""
 
     NO_ROUTE = 'no_route'
+    NO_UPSTREAM = 'no_upstream'
+
+
+class WaitReason(enum.Enum):
+    """Reason for which a flow waits to be placed."""
+
+    NO_CONFIGURATION = 'no_configuration'
+    NO_UPSTREAM = 'no_upstream'
 
 
 class Forward(typing.NamedTuple):
@@ -89,13 +98,19 @@
     reason: RefusalReason
 
 
+class Wait(msgspec.Struct, frozen=True):
+    """Decision to keep an opening packet until it can be placed."""
+
+    reason: WaitReason
+
+
 class Drop(msgspec.Struct, frozen=True):
     """Decision to drop a packet; the caller retransmits it."""
 
     reason: DropReason
 
 
-Decision = Forward | Placement | Refusal | Drop
+Decision = Forward | Placement | Refusal | Wait | Drop
 
 
 class UpstreamSuspected(msgspec.Struct, frozen=True):
--- a/acaciamoor/forwarder/shell/driver.py
+++ b/acaciamoor/forwarder/shell/driver.py
@@ -18,6 +18,13 @@
 _OUTDATED = effects.Drop(effects.DropReason.OUTDATED)
 # Interval of pause checks and expiry checks while no packet arrives.
 _TICK_INTERVAL = datetime.timedelta(milliseconds=500)
+# Maximum number of batches that are read before openings are retried.
+_MAX_BATCHES_BEFORE_RETRY = 4
+# Interval between two attempts to retry while the socket is not empty.
+_BUSY_RETRY_INTERVAL = datetime.timedelta(milliseconds=10)
+_ZERO = datetime.timedelta(0)
+# Time between two reads below which the loop had no time to wait for packets.
+_LOOP_LATENCY = datetime.timedelta(milliseconds=2)
 # Interval between searches for expired flows and upstreams.
 _EXPIRY_INTERVAL = datetime.timedelta(seconds=5)
 
@@ -59,6 +66,15 @@
         self._pause_threshold = pause_threshold
         self._last_check_at = clock.monotonic()
         self._expire_at = self._last_check_at + _EXPIRY_INTERVAL
+        self.last_packet_at = self._last_check_at
+        # Whether packets were left in the socket by the last read, and when a
+        # read left none.
+        self._busy = False
+        self._empty_at = self._last_check_at
+        # Time at which the last batch had been handled.
+        self._handled_at = self._last_check_at
+        # Whether the waiting packets may be from before a pause.
+        self._stale = False
         self._retry_timer: asyncio.TimerHandle | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
         self.on_resume = lambda: None
@@ -74,23 +90,73 @@
         self._socket.close(loop)
 
     def _handle_batch(self) -> None:
+        now = self._read_socket()
+        self._record_observations()
+        self._arm_retry_timer(now, _ZERO)
+
+    def _read_socket(self) -> datetime.timedelta:
+        """Handle a batch of packets; return the time at which it was read."""
+        active_at = max(self._handled_at, self._last_check_at)
         now, paused = self._check_for_pause()
-        batch, _ = self._socket.read_batch()
-        decode, handle = self._codec.decode, self._core.handle
+        backlog = self._measure_backlog(now, active_at)
+        self._stale = self._stale or paused
+        batch, empty = self._socket.read_batch()
+        if batch:
+            self.last_packet_at = now
         for data in batch:
-            packet = decode(data)
+            self._handle_packet(data, now, backlog)
+        self._busy = not empty
+        if empty:
+            self._empty_at = now
+            self._stale = False
+        self._handled_at = self._clock.monotonic()
+        return now
+
+    def _measure_backlog(
+        self, now: datetime.timedelta, active_at: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Return for how long packets may have waited in the socket."""
+        idle = now - active_at
+        if self._busy or idle < _LOOP_LATENCY:
+            return now - self._empty_at
+        # An idle loop reads a packet at once, unless the process is stopped;
+        # otherwise the periodic check would have ended the wait.
+        return max(_ZERO, idle - _TICK_INTERVAL)
+
+    def _record_observations(self) -> None:
+        for observation in self._core.take_observations():
+            self._observer.record(observation)
+
+    def _handle_packet(
+        self,
+        data: bytes,
+        now: datetime.timedelta,
+        backlog: datetime.timedelta,
+    ) -> None:
+        packet = None
+        try:
+            packet = self._codec.decode(data)
             if packet is None:
                 decision: effects.Decision = _MALFORMED
-            elif paused and packet.opens:
+            elif self._stale and packet.opens:
                 # The caller has opened the flow through another host or has
                 # given up by now.
                 decision = _OUTDATED
+            elif packet.opens:
+                # A slow host takes long for a batch, and the time at which
+                # an opening is sent decides whether its upstream is silent.
+                sent_at = self._clock.monotonic()
+                decision = self._core.handle(
+                    data, packet, sent_at, backlog + (sent_at - now)
+                )
             else:
-                decision = handle(data, packet, now)
+                decision = self._core.handle(data, packet, now, backlog)
             self._execute(decision, packet)
-        for observation in self._core.take_observations():
-            self._observer.record(observation)
-        self._arm_retry_timer(now)
+        except Exception:
+            # The other packets of the batch must still be forwarded.
+            self._observer.record_failure(
+                None if packet is None else packet.key
+            )
 
     def _check_for_pause(self) -> tuple[datetime.timedelta, bool]:
         now = self._clock.monotonic()
@@ -129,6 +195,10 @@
         self._send(data, self._codec.get_caller_address(refusal.key))
         self._observer.record_refusal(refusal)
 
+    def wait(self, wait: effects.Wait, key: pending.FlowKey | None) -> None:
+        """Record a flow that waits to be placed."""
+        self._observer.record_wait(wait, key)
+
     def drop(self, drop: effects.Drop, key: pending.FlowKey | None) -> None:
         """Record a dropped packet."""
         self._observer.record_drop(drop, key)
@@ -140,23 +210,35 @@
             # A full send buffer counts as packet loss.
             self._observer.unsent.add(error=type(error).__name__)
 
-    def _arm_retry_timer(self, now: datetime.timedelta) -> None:
+    def _arm_retry_timer(
+        self, now: datetime.timedelta, shortest: datetime.timedelta
+    ) -> None:
         if self._retry_timer is not None or self._loop is None:
             return
         due = self._core.next_retry_at()
         if due is not None:
-            delay = max(0.0, (due - now).total_seconds())
-            self._retry_timer = self._loop.call_later(delay, self._retry)
+            delay = max(shortest, due - now)
+            self._retry_timer = self._loop.call_later(
+                delay.total_seconds(), self._retry
+            )
 
     def _retry(self) -> None:
         self._retry_timer = None
-        now, paused = self._check_for_pause()
-        if not paused:
-            for decision in self._core.retry_openings(now):
-                self._execute(decision, None)
-            for observation in self._core.take_observations():
-                self._observer.record(observation)
-        self._arm_retry_timer(now)
+        # A host that lags behind its packets must not take an upstream for
+        # silent whose answer it has not read yet.
+        now = self._read_socket()
+        for _ in range(_MAX_BATCHES_BEFORE_RETRY - 1):
+            if not self._busy:
+                break
+            now = self._read_socket()
+        try:
+            if not self._busy:
+                for decision in self._core.retry_openings(now):
+                    self._execute(decision, None)
+        except Exception:
+            self._observer.record_failure(None)
+        self._record_observations()
+        self._arm_retry_timer(now, _BUSY_RETRY_INTERVAL)
 
     def _tick(self) -> None:
         now, _ = self._check_for_pause()
@@ -189,6 +271,13 @@
     driver.refuse(decision)
 
 
+@_execute.register
+def _wait(
+    decision: effects.Wait, driver: Driver, key: pending.FlowKey | None
+) -> None:
+    driver.wait(decision, key)
+
+
 @_execute.register
 def _drop(
     decision: effects.Drop, driver: Driver, key: pending.FlowKey | None
--- a/acaciamoor/forwarder/shell/observer.py
+++ b/acaciamoor/forwarder/shell/observer.py
@@ -55,6 +55,10 @@
             'acaciamoor_forwarder_unsent_datagrams_total',
             'Datagrams that the operating system did not take.',
         )
+        self.failures = exposition.Counter(
+            'acaciamoor_forwarder_internal_errors_total',
+            'Packets that the program failed to handle.',
+        )
         self.suspicions = exposition.Counter(
             'acaciamoor_forwarder_suspicions_total',
             'Upstreams that did not answer an opening packet.',
@@ -68,7 +72,13 @@
     @property
     def metrics(self) -> tuple[exposition.Metric, ...]:
         """Metrics that this observer updates."""
-        return (self.packets, self.unsent, self.suspicions, self.handshakes)
+        return (
+            self.packets,
+            self.unsent,
+            self.failures,
+            self.suspicions,
+            self.handshakes,
+        )
 
     def record_placement(self, placement: effects.Placement) -> None:
         """Record the placement of a flow."""
@@ -95,6 +105,18 @@
             reason=refusal.reason.value,
         )
 
+    def record_wait(
+        self, wait: effects.Wait, key: pending.FlowKey | None
+    ) -> None:
+        """Record a flow that waits to be placed."""
+        self.packets.add(outcome='waiting', reason=wait.reason.value)
+        self._log(
+            bounded.LogCategory.FAILURE,
+            'flow waits',
+            key,
+            reason=wait.reason.value,
+        )
+
     def record_drop(
         self, drop: effects.Drop, key: pending.FlowKey | None
     ) -> None:
@@ -107,6 +129,13 @@
             reason=drop.reason.value,
         )
 
+    def record_failure(self, key: pending.FlowKey | None) -> None:
+        """Record the exception that is being handled."""
+        self.failures.add()
+        if self._rate_limiter.try_acquire(bounded.LogCategory.FAILURE):
+            flow = None if key is None else flow_name(key)
+            _LOG.exception('packet not handled', extra={'flow': flow})
+
     def record(self, observation: effects.Observation) -> None:
         """Record an observation."""
         _record(observation, self)
--- a/acaciamoor/load/scenarios/openings.py
+++ b/acaciamoor/load/scenarios/openings.py
@@ -5,10 +5,14 @@
 
 from acaciamoor.load import measurement
 from acaciamoor.load.scenarios import opening_model
+from acaciamoor.load.scenarios import opening_naive
+from acaciamoor.load.scenarios import opening_patterns
+from acaciamoor.load.scenarios import opening_replay
 from acaciamoor.load.scenarios import opening_strategies
 from acaciamoor.load.scenarios import registry
 
 NAME = 'openings-crest'
+PATTERNS_NAME = 'openings-patterns'
 # Requests per second and upstream at the peak of a demand swing (the measures
 # call it a crest). With the run times of the model, two slots can serve 66.
 PEAK_RATE = 47.0
@@ -74,6 +78,43 @@
     ]
 
 
+def run_patterns(
+    options: registry.Options,
+) -> list[measurement.Measurement]:
+    """Replay all load patterns on one host, beside a naive one."""
+    return [
+        measurement.Measurement(
+            PATTERNS_NAME,
+            variant,
+            f'{pattern.name}: {measure}',
+            value,
+            unit,
+            None,
+            options.seed,
+        )
+        for build in opening_patterns.PATTERNS
+        for pattern in (build(options.seed),)
+        for variant, classes in (
+            (measurement.Variant.ACACIAMOOR, ()),
+            (
+                measurement.Variant.NAIVE,
+                (opening_naive.NaiveCore, opening_naive.NaiveDriver),
+            ),
+        )
+        for outcome in (
+            opening_replay.Replay(pattern, options.seed, *classes).run(),
+        )
+        for measure, value, unit in (
+            ('opened', outcome.opened, 'share of flows'),
+            ('opened after 150 ms or not', outcome.slow_share, 'share'),
+            ('wait of opened flows', outcome.wait_s, 's'),
+            ('wait of the others', outcome.refusal_wait_s, 's'),
+            ('opening packets at upstreams', outcome.copies, 'per flow'),
+            ('false suspicions', outcome.false_suspicions, 'suspicions'),
+        )
+    ]
+
+
 def register(scenarios: registry.ScenarioRegistry) -> None:
     """Add the scenario of new flows to `scenarios`."""
     scenarios.add(
@@ -83,3 +124,10 @@
             run,
         )
     )
+    scenarios.add(
+        registry.Scenario(
+            PATTERNS_NAME,
+            'Replay load patterns on the decisions of one host.',
+            run_patterns,
+        )
+    )
--- a/acaciamoor/openings/pending.py
+++ b/acaciamoor/openings/pending.py
@@ -14,7 +14,7 @@
 
 
 class Opening(msgspec.Struct):
-    """A flow whose handshake is in progress.
+    """A flow that waits for an upstream, or for the answer of one.
 
     Parameters
     ----------
@@ -22,28 +22,31 @@
         The flow.
     packet : bytes
         Opening packet as received.
-    last_sent_at : datetime.timedelta
-        Time of the latest attempt.
-    tried_ids : list
-        Upstreams that were tried, in order.
+    last_tried_at : datetime.timedelta
+        Time of the latest attempt to place the flow.
     service : str
-        Service that was chosen for the flow.
+        Service that was chosen for the flow; empty before the choice.
+    tried_ids : list
+        Upstreams that were sent the packet, in order.
     retried : bool
         Whether the host has resent the packet by itself after a timeout.
-    first_sent_at : datetime.timedelta
-        Time of the first attempt.
+    received_at : datetime.timedelta
+        Time at which the first packet of the flow was handled.
+    refusable_until : datetime.timedelta
+        Time until which no other host can have opened the flow.
     """
 
     key: FlowKey
     packet: bytes
-    last_sent_at: datetime.timedelta
-    service: str
-    tried_ids: list[model.UpstreamId]
+    last_tried_at: datetime.timedelta
+    service: str = ''
+    tried_ids: list[model.UpstreamId] = msgspec.field(default_factory=list)
     retried: bool = False
-    first_sent_at: datetime.timedelta = datetime.timedelta(0)
+    received_at: datetime.timedelta = datetime.timedelta(0)
+    refusable_until: datetime.timedelta = datetime.timedelta(0)
 
     def __post_init__(self) -> None:
-        self.first_sent_at = self.last_sent_at
+        self.received_at = self.last_tried_at
 
     @property
     def address(self) -> tokens.ServiceAddress:
@@ -90,7 +93,7 @@
     ) -> collections.abc.Iterator[Opening]:
         """Yield openings whose latest attempt was at `instant` or before."""
         for opening in list(self._openings_by_key.values()):
-            if opening.last_sent_at > instant:
+            if opening.last_tried_at > instant:
                 return
             yield opening
 
