Start hosts from other hosts, and stop them when packets have ceased

Cause: a starting host listed the collections from a copy that may be seconds old, so upstreams that had left and withdrawn routes were in use again until its first call. It now asks one seed or relay, and lists consistently otherwise; it is ready once the store has confirmed its lists, or after 1 s. New hosts ask one relay for whole collections; entries of hosts that are gone are skipped for up to a minute.

--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -1,6 +1,7 @@
 """Keeps the replicas of a host up to date, from relays or the store."""
 
 import asyncio
+import collections.abc
 import datetime
 import functools
 import logging
@@ -10,13 +11,14 @@
 from acaciamoor import model
 from acaciamoor import platform
 from acaciamoor import replica as replicas
+from acaciamoor import supervision
 from acaciamoor.forwarder import store_schema as schemas
 from acaciamoor.forwarder.shell import adoption as adoptions
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import relay_link
 from acaciamoor.forwarder.shell import relay_server
 from acaciamoor.forwarder.shell import sources
-from acaciamoor.forwarder.shell import tasks
+from acaciamoor.telemetry import exposition
 
 _LOG = logging.getLogger(__name__)
 
@@ -61,20 +63,29 @@
             for kind in (schema.routes_kind, schema.upstreams_kind)
         }
         self._peers = replicas.PeerList(settings.own)
+        self._age_limits = settings.get_age_limits(self._peers.search_period)
         self._server = relay_server.RelayServer(
             settings.own.address, self._replicas_by_kind, clock
         )
+        self.calls = exposition.Counter(
+            'acaciamoor_forwarder_store_calls_total',
+            'Calls to the store by kind; failed calls are not repeated here.',
+        )
         self._sources = [
             sources.StoreSource(
                 replica,
                 store,
                 self._apply_batch,
                 self._server.send_heartbeat,
+                self.calls,
                 clock,
                 random_source,
             )
             for replica in self._replicas_by_kind.values()
         ]
+        self._started_at = clock.monotonic()
+        self._first_seed = random_source.randrange(1 << 16)
+        self._failed_links = 0
         self._links_by_peer: dict[replicas.Peer, asyncio.Task[None]] = {}
         self._last_role = replicas.Role.ALONE
 
@@ -83,15 +94,39 @@
         await self._server.start()
         try:
             async with asyncio.TaskGroup() as group:
-                for source in self._sources:
-                    group.create_task(source.read_initial_listing())
-                group.create_task(self._poll_host_list())
-                group.create_task(self._send_heartbeats())
-                group.create_task(self._update_sources())
+                for name, run in self._tasks():
+                    group.create_task(supervision.supervise(name, run))
         finally:
             self._server.close()
             self.close_connections()
 
+    def _tasks(
+        self,
+    ) -> collections.abc.Iterator[
+        tuple[
+            str,
+            collections.abc.Callable[
+                [], collections.abc.Coroutine[object, object, None]
+            ],
+        ]
+    ]:
+        for source in self._sources:
+            yield (
+                'the first listing',
+                functools.partial(
+                    source.read_initial_listing, self._get_seed_wait()
+                ),
+            )
+        yield 'reading the host list', self._poll_host_list
+        yield 'sending heartbeats', self._send_heartbeats
+        yield 'selecting sources', self._update_sources
+
+    def _get_seed_wait(self) -> datetime.timedelta:
+        delay = self._peers.registration_delay
+        if self._settings.first_start and delay:
+            return delay + limits.FIRST_START_GRACE
+        return limits.SEED_GRACE
+
     def close_connections(self) -> None:
         """Close all connections, which may be dead after a pause.
 
@@ -109,6 +144,11 @@
         ages = [item.age(now) for item in self._replicas_by_kind.values()]
         return None if None in ages else max(ages)
 
+    def is_current(self) -> bool:
+        """Return whether the store confirmed the replicas lately."""
+        age = self.age()
+        return age is not None and age <= self._settings.change_bound
+
     @property
     def listeners(self) -> int:
         """Number of hosts that are connected to this one as listeners."""
@@ -125,7 +165,13 @@
             # would not accept confirmations of this one.
             self._server.publish(
                 replica.kind,
-                replicas.Batch(base, replica.version, tuple(events)),
+                replicas.Batch(
+                    base,
+                    replica.version,
+                    tuple(events),
+                    # Hosts may have connected before there was any data.
+                    snapshot=not base,
+                ),
             )
 
     async def _send_heartbeats(self) -> None:
@@ -138,7 +184,7 @@
             now = self._clock.monotonic()
             role = self._determine_role(now)
             for source in self._sources:
-                source.update_calls(role, self._settings.age_limits, now)
+                source.update_calls(role, self._age_limits, now)
             self._update_links(self._peers.relays(now), now)
             await asyncio.sleep(limits.SOURCE_CHECK_INTERVAL.total_seconds())
 
@@ -159,14 +205,34 @@
         if not all(
             item.initialized for item in self._replicas_by_kind.values()
         ):
-            wanted.update(
-                self._peers.fallback_peers(now) or self._seed_peers()
-            )
+            wanted = self._select_initial_peers(now)
         wanted.discard(self._settings.own)
         for peer in self._links_by_peer.keys() - wanted:
             self._links_by_peer.pop(peer).cancel()
         for peer in wanted - self._links_by_peer.keys():
-            self._links_by_peer[peer] = tasks.spawn(self._run_link(peer))
+            self._links_by_peer[peer] = supervision.spawn(self._run_link(peer))
+
+    def _select_initial_peers(
+        self, now: datetime.timedelta
+    ) -> set[replicas.Peer]:
+        """Return the hosts to ask for whole collections.
+
+        At first it is a single one, since every host that is asked sends both
+        collections.
+        """
+        fallback_peers = self._peers.fallback_peers(now)
+        elapsed = now - self._started_at
+        if elapsed < limits.SINGLE_SOURCE_PERIOD and fallback_peers:
+            return set(fallback_peers[:1])
+        if fallback_peers:
+            return set(fallback_peers)
+        seeds = self._seed_peers()
+        if not seeds:
+            return set()
+        # Hosts start with different seeds, and go on to the next one if theirs
+        # is down or has no data either.
+        turn = self._failed_links + elapsed // limits.SEED_TURN
+        return {seeds[(self._first_seed + turn) % len(seeds)]}
 
     def _seed_peers(self) -> list[replicas.Peer]:
         own = self._settings.own
@@ -187,6 +253,7 @@
             await link.run()
         except (OSError, EOFError, replicas.MessageError) as error:
             _LOG.info('relay %s is lost: %r', peer.host_id, error)
+            self._failed_links += 1
             self._peers.mark_unreachable(peer.host_id, self._clock.monotonic())
         finally:
             if self._links_by_peer.get(peer) is asyncio.current_task():
@@ -196,6 +263,7 @@
         self, peer: replicas.Peer, message: replicas.Message
     ) -> None:
         now = self._clock.monotonic()
+        self._peers.mark_reachable(peer.host_id)
         _handle_message(message, self, peer, now)
 
     def apply_update(
@@ -221,21 +289,44 @@
 
     async def _poll_host_list(self) -> None:
         registered = False
+        peers = self._peers
+        started_at = now = self._clock.monotonic()
+        register_at = started_at + peers.registration_delay
         interval = limits.INITIAL_HOST_LIST_INTERVAL
+        if self._settings.first_start and peers.registration_delay:
+            # Until then, no one has anything to find in the list.
+            jitter = self._random.random() * limits.FIRST_READ_JITTER
+            await asyncio.sleep(
+                (peers.registration_delay + jitter).total_seconds()
+            )
         while True:
+            # Entries that were written just now decide who registers.
+            searching = (
+                self._settings.first_start
+                and now - started_at < peers.search_period
+            )
             try:
+                self.calls.add(call='list', kind=self._schema.hosts_kind)
                 listing = await self._store.watch.read_all(
-                    self._schema.hosts_kind, stale=True
+                    self._schema.hosts_kind, stale=not searching
                 )
-                registered = registered or await self._register(listing)
                 self._update_peers(listing)
+                now = self._clock.monotonic()
+                if (
+                    not registered
+                    and now >= register_at
+                    and peers.needs_registration(now)
+                ):
+                    registered = await self._register(listing)
             except platform.StoreError as error:
                 _LOG.info('reading or writing the host list failed: %r', error)
                 await asyncio.sleep(
                     limits.HOST_LIST_RETRY_DELAY.total_seconds()
                 )
                 continue
-            if self._peers.relays(self._clock.monotonic()):
+            if peers.has_lost_relays(now):
+                interval = limits.INITIAL_HOST_LIST_INTERVAL
+            elif peers.relays(now):
                 interval = max(interval, limits.HOST_LIST_INTERVAL_WITH_RELAYS)
             jitter = 0.5 + self._random.random()
             await asyncio.sleep(interval.total_seconds() * jitter)
@@ -259,6 +350,7 @@
         write = platform.Write(
             self._schema.hosts_kind, own.host_id, value, (), version
         )
+        self.calls.add(call='write', kind=write.kind)
         try:
             await self._store.watch.write(write)
         except platform.Conflict:
--- a/acaciamoor/forwarder/shell/limits.py
+++ b/acaciamoor/forwarder/shell/limits.py
@@ -32,6 +32,18 @@
 # Minimum mean interval for a host that has found relays. A new host connects
 # to the relays at once; other hosts need its entry only if it becomes a relay.
 HOST_LIST_INTERVAL_WITH_RELAYS = datetime.timedelta(seconds=5)
+# Time that a starting host waits for data from its seeds before it lists the
+# collections itself. A connection and a snapshot take a few milliseconds.
+SEED_GRACE = datetime.timedelta(milliseconds=50)
+# Time for which a host asks a single relay for whole collections.
+SINGLE_SOURCE_PERIOD = datetime.timedelta(milliseconds=400)
+# Time after which a host without data goes on to the next seed.
+SEED_TURN = datetime.timedelta(seconds=1)
+# Time that a host waits for data at the first start of a site, in addition to
+# the delay of its registration. Hosts with wider links list the collections.
+FIRST_START_GRACE = datetime.timedelta(milliseconds=700)
+# Maximum jitter of the first read of the host list at the first start.
+FIRST_READ_JITTER = datetime.timedelta(milliseconds=300)
 # Time that a host waits for data from its relays after the initial listing.
 # Connecting to a relay takes a few milliseconds.
 RELAY_CONNECT_GRACE = datetime.timedelta(milliseconds=400)
@@ -67,20 +79,25 @@
     recovery_bound : datetime.timedelta
         Time within which a host must be up to date after the store, or the
         path to it, has recovered.
+    first_start : bool
+        Whether all hosts of the site start now for the first time.
     """
 
     own: replicas.Peer
     seeds: tuple[model.Address, ...]
     change_bound: datetime.timedelta
     recovery_bound: datetime.timedelta
+    first_start: bool = False
 
-    @property
-    def age_limits(self) -> replicas.AgeLimits:
-        """Ages above which a replica must be confirmed by the store itself."""
+    def get_age_limits(
+        self, search_period: datetime.timedelta
+    ) -> replicas.AgeLimits:
+        """Return the ages above which the store must confirm a replica."""
         return replicas.AgeLimits(
             standby=self.change_bound * _STANDBY_AGE_SHARE,
             listener=self.change_bound * _LISTENER_AGE_SHARE,
             connect_grace=RELAY_CONNECT_GRACE,
+            search_period=search_period,
         )
 
     @property
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -31,6 +31,12 @@
 # Receive buffer; larger than any packet with its header.
 _DATAGRAM_BYTES = 2048
 _MS = datetime.timedelta(milliseconds=1)
+# Time for which a host that has only old lists waits for newer ones before it
+# serves with what it has. A call to the store takes a few milliseconds.
+_CONFIRMATION_WAIT = datetime.timedelta(seconds=1)
+# A host that has received no packet for this time is out of rotation.
+_QUIET_PERIOD = datetime.timedelta(milliseconds=500)
+_QUIET_CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
 class ProcessSettings(msgspec.Struct, frozen=True):
@@ -46,11 +52,13 @@
         Address of the readiness endpoint that the fabric polls.
     readiness_path : str
         URL path of the readiness endpoint.
+    shutdown_delay : datetime.timedelta
+        Minimum time for which a host goes on forwarding after a stop signal.
+    max_shutdown_delay : datetime.timedelta
+        Maximum of that time, if packets go on arriving. If most hosts of a
+        data centre leave at once, the fabric goes on using all of them.
     metrics_address : Address or None
         Address that serves metrics at ``/metrics``; None disables them.
-    shutdown_delay : datetime.timedelta
-        Time for which a host goes on forwarding after a stop signal. The
-        fabric notices it after two checks that are 0.5 s apart.
     directory : DirectorySettings
         Settings for the retention of removed upstreams.
     sync : SyncSettings
@@ -63,8 +71,9 @@
     listen: model.Address
     readiness_address: model.Address
     readiness_path: str
+    shutdown_delay: datetime.timedelta
+    max_shutdown_delay: datetime.timedelta
     metrics_address: model.Address | None = None
-    shutdown_delay: datetime.timedelta = datetime.timedelta(seconds=2.5)
 
 
 class ForwarderProcess:
@@ -99,6 +108,8 @@
         on_reload: collections.abc.Callable[[], None],
     ) -> None:
         self._settings = settings
+        self._clock = clock
+        self._complete_since: datetime.timedelta | None = None
         self._on_reload = on_reload
         self._directory = directories.Directory(settings.directory)
         self._core = cores.ForwarderCore(
@@ -131,7 +142,17 @@
     @property
     def ready(self) -> bool:
         """Whether the host is ready to receive packets."""
-        return self._directory.complete and not self._stop_requested.is_set()
+        if not self._directory.complete or self._stop_requested.is_set():
+            return False
+        now = self._clock.monotonic()
+        if self._complete_since is None:
+            self._complete_since = now
+        # Peers may have been cut off from the store for long: their lists may
+        # have upstreams that have left.
+        return (
+            self._synchronizer.is_current()
+            or now - self._complete_since >= _CONFIRMATION_WAIT
+        )
 
     async def run(self) -> None:
         """Forward packets until SIGTERM or SIGINT."""
@@ -153,13 +174,26 @@
             # process.
             sync_task.result()
         _LOG.info('leaving')
-        await asyncio.sleep(self._settings.shutdown_delay.total_seconds())
+        await self._forward_until_quiet()
         sync_task.cancel()
         for endpoint in served:
             endpoint.close()
         self._driver.close(loop)
         _LOG.info('stopped')
 
+    async def _forward_until_quiet(self) -> None:
+        settings = self._settings
+        started_at = self._clock.monotonic()
+        await asyncio.sleep(settings.shutdown_delay.total_seconds())
+        while True:
+            now = self._clock.monotonic()
+            if now - self._driver.last_packet_at >= _QUIET_PERIOD:
+                return
+            if now - started_at >= settings.max_shutdown_delay:
+                _LOG.warning('stopping although packets still arrive')
+                return
+            await asyncio.sleep(_QUIET_CHECK_INTERVAL.total_seconds())
+
     def _get_sync_status(self) -> sync_status.SyncStatus:
         age = self._synchronizer.age()
         return sync_status.SyncStatus(
@@ -217,6 +251,8 @@
         )
         return endpoints.Response(
             http.HTTPStatus.OK,
-            exposition.render((*self._observer.metrics, *gauges)),
+            exposition.render(
+                (*self._observer.metrics, self._synchronizer.calls, *gauges)
+            ),
             exposition.CONTENT_TYPE,
         )
--- a/acaciamoor/forwarder/shell/sources.py
+++ b/acaciamoor/forwarder/shell/sources.py
@@ -11,15 +11,17 @@
 from acaciamoor import clock as clocks
 from acaciamoor import platform
 from acaciamoor import replica as replicas
+from acaciamoor import supervision
 from acaciamoor.forwarder.shell import limits
-from acaciamoor.forwarder.shell import tasks
 from acaciamoor.platform import watching
+from acaciamoor.telemetry import exposition
 
 _LOG = logging.getLogger(__name__)
 ApplyBatch = collections.abc.Callable[
     [replicas.Replica, replicas.Batch, str], None
 ]
 _STORE = 'store'
+_SEED_POLL_INTERVAL = datetime.timedelta(milliseconds=10)
 
 
 class StoreTransports(msgspec.Struct, frozen=True):
@@ -54,6 +56,8 @@
         Called with the replica, a batch and the name of its source.
     on_refreshed : callable
         Called when a refresh has confirmed the replica.
+    calls : Counter
+        Counts the calls by kind.
     clock : Clock
         Source of time.
     random_source : random.Random
@@ -66,6 +70,7 @@
         store: StoreTransports,
         apply: ApplyBatch,
         on_refreshed: collections.abc.Callable[[], None],
+        calls: exposition.Counter,
         clock: clocks.Clock,
         random_source: random.Random,
     ) -> None:
@@ -73,23 +78,35 @@
         self._store = store
         self._apply = apply
         self._on_refreshed = on_refreshed
+        self._calls = calls
         self._clock = clock
         self._random = random_source
         self._call_mode = replicas.CallMode.NONE
         self._task: asyncio.Task[None] | None = None
         self._listed_at: datetime.timedelta | None = None
 
-    async def read_initial_listing(self) -> None:
-        """Fill the replica from a listing that may be seconds old.
+    async def read_initial_listing(
+        self, seed_wait: datetime.timedelta
+    ) -> None:
+        """Fill the replica from the store, unless a seed does so at once.
+
+        The listing is a consistent one. From one that is seconds old, a host
+        that starts would use upstreams that have left, and routes that were
+        withdrawn, until its first call for changes.
 
-        A stale listing costs the store a tenth of a consistent one. The first
-        call for changes brings the replica to the newest version.
+        Parameters
+        ----------
+        seed_wait : datetime.timedelta
+            Time to wait for data from another host.
         """
         replica = self._replica
+        if await self._is_confirmed_within(seed_wait):
+            self._listed_at = self._clock.monotonic()
+            return
+        sent_at = self._clock.monotonic()
+        self._calls.add(call='list', kind=replica.kind)
         try:
-            listing = await self._store.watch.read_all(
-                replica.kind, stale=True
-            )
+            listing = await self._store.watch.read_all(replica.kind)
         except platform.StoreError as error:
             _LOG.warning('first listing of %s failed: %r', replica.kind, error)
             return
@@ -105,6 +122,16 @@
             replicas.Batch(0, listing.version, events, snapshot=True),
             _STORE,
         )
+        replica.confirm(listing.version, sent_at)
+
+    async def _is_confirmed_within(self, wait: datetime.timedelta) -> bool:
+        """Wait for data from another host; return whether it arrived."""
+        end = self._clock.monotonic() + wait
+        while self._clock.monotonic() < end:
+            if self._replica.age(self._clock.monotonic()) is not None:
+                return True
+            await asyncio.sleep(_SEED_POLL_INTERVAL.total_seconds())
+        return False
 
     def update_calls(
         self,
@@ -123,7 +150,7 @@
         self.cancel()
         self._call_mode = mode
         if mode is not replicas.CallMode.NONE:
-            self._task = tasks.spawn(self._run(mode))
+            self._task = supervision.spawn(self._run(mode))
 
     def cancel(self) -> None:
         """Cancel the calls in progress."""
@@ -155,6 +182,7 @@
             replica.names,
         )
         events: list[platform.WatchEvent] = []
+        self._calls.add(call=mode.value, kind=replica.kind)
         async for event in watch.events():
             if event.event_type is not platform.EventType.BOOKMARK:
                 events.append(event)
@@ -168,6 +196,8 @@
             self._apply(replica, batch, _STORE)
             replica.confirm(event.version, self._clock.monotonic())
             base, events = event.version, []
+            if mode is not replicas.CallMode.REFRESH:
+                self._calls.add(call=mode.value, kind=replica.kind)
             if mode is replicas.CallMode.REFRESH:
                 self._on_refreshed()
                 return
--- a/acaciamoor/forwarder/tests/test_data_centre.py
+++ b/acaciamoor/forwarder/tests/test_data_centre.py
@@ -5,6 +5,7 @@
 import datetime
 import random
 import unittest
+from unittest import mock
 
 from acaciamoor import clock
 from acaciamoor import model
@@ -34,6 +35,10 @@
         self.peers = []
         self.cut_ids = set()
         self.calls_by_id = collections.Counter()
+        self.lists_by_kind = collections.Counter()
+        # Whether hosts are in the list only after they have registered.
+        self.needs_registration = False
+        self.registered_ids = set()
         self.changed = asyncio.Condition()
 
     async def put(self, name: str, kind: str = UPSTREAMS) -> None:
@@ -55,10 +60,13 @@
 
     async def read_all(self, kind, selector=None, stale=False):
         await self._check_path()
+        self._store.lists_by_kind[kind] += 1
         if kind == test_following.HOSTS:
             found = [
                 test_following.put(kind, str(number), 1).stored
-                for number in range(len(self._store.peers))
+                for number, peer in enumerate(self._store.peers)
+                if not self._store.needs_registration
+                or peer.host_id in self._store.registered_ids
             ]
         else:
             found = [event.stored for event in self._store.written[kind]]
@@ -66,6 +74,7 @@
 
     async def write(self, write):
         await self._check_path()
+        self._store.registered_ids.add(write.name)
 
     async def stream(self, kind, after_version):
         store = self._store
@@ -109,26 +118,27 @@
         return self._store.peers[int(stored.name)]
 
 
-class DataCentreTest(test_relay.UvloopTestCase):
+class DataCentreTestCase(test_relay.UvloopTestCase):
+    """Base class of tests with the hosts of a data centre."""
+
     async def asyncSetUp(self):
         self.store = SimulatedStore()
         self.updaters_by_id = {}
-        for number in range(HOSTS):
+
+    def add_hosts(self, count, link_mbps=0.0):
+        """Add hosts to the data centre."""
+        for _ in range(count):
             address = test_relay.free_address()
-            host_id = model.HostId(f'host-{number}')
-            self.store.peers.append(replica.Peer(host_id, 'kgn-a', address))
-        for own in self.store.peers:
-            self.start(own)
-        await asyncio.sleep(STARTUP_S)
-        ranked = replica.PeerList(self.store.peers[0])
-        ranked.replace(self.store.peers)
-        self.relays = [
-            peer.host_id for peer in ranked.relays(datetime.timedelta(0))
-        ]
+            host_id = model.HostId(f'host-{len(self.store.peers)}')
+            self.store.peers.append(
+                replica.Peer(host_id, 'kgn-a', address, link_mbps)
+            )
 
-    def start(self, own):
+    def start(self, own, seeds=(), first_start=False):
         """Start the synchronizer of a host."""
-        settings = limits.SyncSettings(own, (), BOUND, RECOVERY)
+        settings = limits.SyncSettings(
+            own, tuple(seeds), BOUND, RECOVERY, first_start
+        )
         updater = test_following.RecordingUpdater()
         self.updaters_by_id[own.host_id] = updater
         synchronizer = followings.StoreSynchronizer(
@@ -162,6 +172,20 @@
             for updater in self.updaters_by_id.values():
                 await updater.wait_for(name)
 
+
+class DataCentreTest(DataCentreTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.add_hosts(HOSTS)
+        for own in self.store.peers:
+            self.start(own)
+        await asyncio.sleep(STARTUP_S)
+        ranked = replica.PeerList(self.store.peers[0])
+        ranked.replace(self.store.peers)
+        self.relays = [
+            peer.host_id for peer in ranked.relays(datetime.timedelta(0))
+        ]
+
     async def test_only_the_first_relay_calls_the_store(self):
         """Guards against a number of calls that grows with the hosts."""
         self.store.calls_by_id.clear()
@@ -213,5 +237,59 @@
         await self.wait_for_all('desk-1')
 
 
+class FirstStartTest(DataCentreTestCase):
+    """All hosts of a data centre start at once for the first time."""
+
+    WIDE_HOSTS = 6
+    NARROW_HOSTS = 10
+
+    async def test_hosts_with_wide_links_call_the_store_for_all(self):
+        """Guards against calls and writes of every host at each first start.
+
+        A host that lists the collections makes two calls, and one that
+        registers makes a write.
+        """
+        self.store.needs_registration = True
+        self.add_hosts(self.WIDE_HOSTS, link_mbps=100.0)
+        self.add_hosts(self.NARROW_HOSTS, link_mbps=10.0)
+        await self.store.put('desk-1')
+        seeds = [self.store.peers[number].address for number in (0, 7, 15)]
+        for own in self.store.peers:
+            self.start(own, seeds, first_start=True)
+        await self.wait_for_all('desk-1')
+        self.assertEqual(self.WIDE_HOSTS, len(self.store.registered_ids))
+        self.assertLessEqual(
+            self.store.lists_by_kind[UPSTREAMS], self.WIDE_HOSTS
+        )
+
+    async def test_host_asks_one_relay_for_whole_collections(self):
+        """Guards against relays that all send everything to a new host."""
+        self.add_hosts(HOSTS)
+        for own in self.store.peers:
+            self.start(own)
+        await self.store.put('desk-1')
+        await self.wait_for_all('desk-1')
+        await asyncio.sleep(STARTUP_S)
+        self.add_hosts(1)
+        own = self.store.peers[-1]
+        received = []
+        apply_update = followings.StoreSynchronizer.apply_update
+
+        def record(synchronizer, update, peer, now):
+            if update.whole:
+                received.append((update.kind, peer.host_id))
+            apply_update(synchronizer, update, peer, now)
+
+        seeds = [peer.address for peer in self.store.peers[:3]]
+        with mock.patch.object(
+            followings.StoreSynchronizer, 'apply_update', record
+        ):
+            self.start(own, seeds)
+            await self.updaters_by_id[own.host_id].wait_for('desk-1')
+            await asyncio.sleep(STARTUP_S)
+        kinds = [kind for kind, _ in received]
+        self.assertEqual(sorted(set(kinds)), sorted(kinds), received)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/acaciamoor/forwarder/tests/test_following.py
+++ b/acaciamoor/forwarder/tests/test_following.py
@@ -132,6 +132,21 @@
         await asyncio.wait_for(second.wait_for('routes-first'), 10)
         self.assertIn(str(address), second.names_by_source)
 
+    async def test_host_does_not_start_from_a_stale_listing(self):
+        """Guards against upstreams that have left, used after a restart."""
+
+        class LaggingStore(Store):
+            async def read_all(self, kind, selector=None, stale=False):
+                listing = await super().read_all(kind)
+                left = put(kind, 'left', 4).stored
+                if not stale:
+                    return listing
+                return platform.Listing(4, (left, *listing.objects))
+
+        updater, _ = self.start(LaggingStore())
+        await asyncio.wait_for(updater.wait_for('upstreams-first'), 10)
+        self.assertNotIn('left', updater.names_by_source['store'])
+
     async def test_host_retries_if_its_seeds_are_down(self):
         """Guards against a task that ends after a refused connection."""
         store = Store()
@@ -171,7 +186,7 @@
             + limits.INITIAL_BACKOFF
             + limits.HEARTBEAT_INTERVAL
         )
-        ages = settings.age_limits
+        ages = settings.get_age_limits(0 * SECOND)
         self.assertLess(age_at_standby, ages.standby)
         # The second relay notices its age, refreshes, and sends its update.
         refreshed = ages.standby + limits.SOURCE_CHECK_INTERVAL
--- a/acaciamoor/replica/call_modes.py
+++ b/acaciamoor/replica/call_modes.py
@@ -50,11 +50,15 @@
     connect_grace : datetime.timedelta
         Time after the initial listing during which a host waits for data from
         its relays, which makes a call of its own unnecessary.
+    search_period : datetime.timedelta
+        Time after the initial listing during which a host without relays does
+        not watch the store yet, since it is likely to find relays.
     """
 
     standby: datetime.timedelta
     listener: datetime.timedelta
     connect_grace: datetime.timedelta
+    search_period: datetime.timedelta
 
 
 def select_call_mode(
@@ -79,13 +83,13 @@
     Examples
     --------
     >>> second = datetime.timedelta(seconds=1)
-    >>> limits = AgeLimits(2 * second, 3 * second, second / 2)
+    >>> limits = AgeLimits(2 * second, 3 * second, second / 2, 3 * second)
     >>> select_call_mode(Role.LISTENER, 2.5 * second, 60 * second, limits)
     <CallMode.NONE: 'none'>
     >>> select_call_mode(Role.STANDBY, 2.5 * second, 60 * second, limits)
     <CallMode.REFRESH: 'refresh'>
     """
-    if role is Role.ALONE:
+    if role is Role.ALONE and time_since_listing >= limits.search_period:
         return CallMode.WATCH
     if role is Role.RELAY:
         return CallMode.WATCH_OFTEN
--- a/acaciamoor/replica/peers.py
+++ b/acaciamoor/replica/peers.py
@@ -10,6 +10,7 @@
 import collections.abc
 import datetime
 import itertools
+import math
 
 import msgspec
 
@@ -17,6 +18,9 @@
 from acaciamoor import model
 from acaciamoor.replica import call_modes
 
+# Links of this width or more register without delay.
+_WIDEST_LINK_MBPS = 1000.0
+
 
 class Peer(msgspec.Struct, frozen=True):
     """A host that takes part in relaying.
@@ -53,12 +57,24 @@
         relay polls the store once a second, a direct watch calls only at
         changes; with fewer than six hosts, relays save no calls.
     unreachable_period : datetime.timedelta
-        Time for which a host that could not be reached is skipped.
+        Time for which a host that could not be reached is skipped; it doubles
+        with each further failure.
+    max_unreachable_period : datetime.timedelta
+        Maximum of that time. Entries of hosts that are gone for good stay in
+        the list.
+    max_registered : int
+        Number of better relays in the list from which on a host does not
+        register itself. Each entry costs a write at every start.
+    max_registration_delay : datetime.timedelta
+        Delay of the registration of a host with the narrowest link.
     """
 
     relay_count: int = 2
     min_hosts: int = 6
     unreachable_period: datetime.timedelta = datetime.timedelta(seconds=4)
+    max_unreachable_period: datetime.timedelta = datetime.timedelta(minutes=1)
+    max_registered: int = 6
+    max_registration_delay: datetime.timedelta = datetime.timedelta(seconds=2)
 
 
 class PeerList:
@@ -92,6 +108,7 @@
         self._unreachable_until_by_id: dict[
             model.HostId, datetime.timedelta
         ] = {}
+        self._failures_by_id: dict[model.HostId, int] = {}
 
     def replace(self, peers: collections.abc.Iterable[Peer]) -> None:
         """Replace the list of hosts."""
@@ -107,9 +124,42 @@
         self, host_id: model.HostId, now: datetime.timedelta
     ) -> None:
         """Skip a host, which could not be reached, for some time."""
-        self._unreachable_until_by_id[host_id] = (
-            now + self._settings.unreachable_period
+        failures = self._failures_by_id.get(host_id, 0)
+        self._failures_by_id[host_id] = failures + 1
+        self._unreachable_until_by_id[host_id] = now + min(
+            self._settings.unreachable_period * (1 << min(failures, 8)),
+            self._settings.max_unreachable_period,
+        )
+
+    def mark_reachable(self, host_id: model.HostId) -> None:
+        """Record that a host has sent data."""
+        self._failures_by_id.pop(host_id, None)
+        self._unreachable_until_by_id.pop(host_id, None)
+
+    @property
+    def registration_delay(self) -> datetime.timedelta:
+        """Time after its start at which this host may register.
+
+        All hosts of a site may start at once and find no one in the list. The
+        delay is shorter for wider links, so that the best relays register
+        first and the other hosts find them.
+        """
+        width = min(max(self._own.link_mbps, 1.0), _WIDEST_LINK_MBPS)
+        share = 1.0 - math.log(width) / math.log(_WIDEST_LINK_MBPS)
+        return self._settings.max_registration_delay * share
+
+    @property
+    def search_period(self) -> datetime.timedelta:
+        """Time after its start in which this host expects to find relays."""
+        return 2 * self.registration_delay
+
+    def needs_registration(self, now: datetime.timedelta) -> bool:
+        """Return whether too few hosts that rank before this one are up."""
+        better = itertools.takewhile(
+            lambda peer: peer != self._own, self._ranked
         )
+        reachable = [peer for peer in better if self._is_reachable(peer, now)]
+        return len(reachable) < self._settings.max_registered
 
     def relays(self, now: datetime.timedelta) -> tuple[Peer, ...]:
         """Return the relays that this host should listen to.
@@ -121,6 +171,11 @@
             return ()
         return self._first_reachable(self._ranked, now)
 
+    def has_lost_relays(self, now: datetime.timedelta) -> bool:
+        """Return whether relays are listed, but none can be reached."""
+        listed = len(self._ranked) >= self._settings.min_hosts
+        return listed and not self.fallback_peers(now)
+
     def fallback_peers(self, now: datetime.timedelta) -> tuple[Peer, ...]:
         """Return hosts to fetch data from while the store is unreachable."""
         others = [peer for peer in self._ranked if peer != self._own]
@@ -129,14 +184,13 @@
     def _first_reachable(
         self, peers: collections.abc.Iterable[Peer], now: datetime.timedelta
     ) -> tuple[Peer, ...]:
-        start = datetime.timedelta(0)
-        reachable = (
-            peer
-            for peer in peers
-            if self._unreachable_until_by_id.get(peer.host_id, start) <= now
-        )
+        reachable = (peer for peer in peers if self._is_reachable(peer, now))
         return tuple(itertools.islice(reachable, self._settings.relay_count))
 
+    def _is_reachable(self, peer: Peer, now: datetime.timedelta) -> bool:
+        until = self._unreachable_until_by_id.get(peer.host_id)
+        return until is None or until <= now
+
     def role(self, now: datetime.timedelta) -> call_modes.Role:
         """Return the role of this host in its data centre."""
         relays = self.relays(now)
--- a/acaciamoor/replica/tests/test_call_modes.py
+++ b/acaciamoor/replica/tests/test_call_modes.py
@@ -7,7 +7,7 @@
 from acaciamoor.replica.tests import builders
 
 SECOND = datetime.timedelta(seconds=1)
-LIMITS = replica.AgeLimits(1.6 * SECOND, 2 * SECOND, 0.4 * SECOND)
+LIMITS = replica.AgeLimits(1.6 * SECOND, 2 * SECOND, 0.4 * SECOND, 3 * SECOND)
 LONG_AGO = 60 * SECOND
 NONE = replica.CallMode.NONE
 REFRESH = replica.CallMode.REFRESH
--- a/acaciamoor/replica/tests/test_replica.py
+++ b/acaciamoor/replica/tests/test_replica.py
@@ -97,12 +97,20 @@
     def test_malformed_bytes_raise_message_error(self):
         """Guards against connection tasks that fail with other errors."""
         codec = replica.MessageCodec()
-        for body in (b'', b'\xc1', b'\x81\xa4type\xa5Other'):
+        nested = b'\x91' * 100_000
+        for body in (b'', b'\xc1', b'\x81\xa4type\xa5Other', nested):
             with self.assertRaises(replica.MessageError):
                 codec.decode(body)
         with self.assertRaises(replica.MessageError):
             codec.decode_length(b'\xff\xff\xff\xff')
 
+    def test_ages_out_of_range_raise_message_error(self):
+        """Guards against a task that ends at a heartbeat of a faulty host."""
+        for seconds in (float('nan'), float('inf'), 1e300):
+            with self.assertRaises(replica.MessageError):
+                replica.messages.decode_age(seconds)
+        self.assertIsNone(replica.messages.decode_age(-1.0))
+
 
 class PeerListTest(unittest.TestCase):
     def setUp(self):
@@ -140,6 +148,43 @@
         self.assertNotIn(first, self.peers.relays(1 * SECOND))
         self.assertEqual(first, self.peers.relays(9 * SECOND)[0])
 
+    def test_hosts_that_are_gone_are_skipped_for_longer(self):
+        """Guards against hosts that leave good relays to try dead ones."""
+        self.peers.replace(builders.peer(number) for number in range(8))
+        first = self.peers.relays(0 * SECOND)[0]
+        for second in (0, 4, 12):
+            self.assertIn(first, self.peers.relays(second * SECOND))
+            self.peers.mark_unreachable(first.host_id, second * SECOND)
+        self.assertNotIn(first, self.peers.relays(27 * SECOND))
+        self.peers.mark_reachable(first.host_id)
+        self.peers.mark_unreachable(first.host_id, 28 * SECOND)
+        self.assertIn(first, self.peers.relays(32 * SECOND))
+
+    def test_widest_links_register_first(self):
+        """Guards against a write of every host at each start of a site."""
+        delays = [
+            replica.PeerList(
+                builders.peer(1, link_mbps=width)
+            ).registration_delay
+            for width in (1e6, 1000.0, 100.0, 10.0, 0.0)
+        ]
+        self.assertEqual([0 * SECOND] * 2, delays[:2])
+        self.assertEqual(sorted(delays), delays)
+        self.assertEqual(2 * SECOND, delays[-1])
+
+    def test_host_registers_if_the_listed_ones_are_gone(self):
+        """Guards against a data centre that lists only dead relays."""
+        wide = [builders.peer(n, link_mbps=100.0) for n in range(10, 16)]
+        self.peers.replace(wide)
+        self.assertFalse(self.peers.needs_registration(0 * SECOND))
+        self.peers.mark_unreachable(wide[0].host_id, 0 * SECOND)
+        self.assertTrue(self.peers.needs_registration(1 * SECOND))
+        for item in wide:
+            self.peers.mark_unreachable(item.host_id, 1 * SECOND)
+        self.assertTrue(self.peers.has_lost_relays(2 * SECOND))
+        self.peers.mark_reachable(wide[1].host_id)
+        self.assertFalse(self.peers.has_lost_relays(2 * SECOND))
+
     def test_relays_are_in_the_local_data_centre(self):
         """Guards against traffic between data centres, which is billed."""
         others = [builders.peer(n, 'kgn-b', 200.0) for n in range(20, 40)]
