Hold packets of open flows until a starting host has its lists

It also waited 50 ms for seeds that had just started and had no data either, and openings that waited were placed by a timer of 40 ms.

--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -11,6 +11,7 @@
 from acaciamoor import openings
 from acaciamoor import tokens
 from acaciamoor.forwarder import effects
+from acaciamoor.forwarder import held_packets
 from acaciamoor.forwarder import packet as packets
 
 _NO_ROUTE = effects.Drop(effects.DropReason.NO_ROUTE)
@@ -48,6 +49,9 @@
         paused. Opening packets in the socket buffer are then out of date.
     idle_timeout : datetime.timedelta
         Time after which a flow without packets is no longer tracked.
+    hold_limit : datetime.timedelta
+        Time for which a packet of an open flow waits for the first list of
+        upstreams. By then its caller has retransmitted it or given up.
     """
 
     data_centre: model.DataCentre
@@ -58,6 +62,7 @@
     refusal_limit: datetime.timedelta = datetime.timedelta(milliseconds=150)
     pause_threshold: datetime.timedelta = datetime.timedelta(milliseconds=1500)
     idle_timeout: datetime.timedelta = datetime.timedelta(seconds=15)
+    hold_limit: datetime.timedelta = datetime.timedelta(seconds=1)
 
 
 class ForwarderCore:
@@ -82,6 +87,7 @@
         self._settings = settings
         self._directory = directory
         self._pending = openings.PendingOpenings()
+        self._held = held_packets.HeldPackets()
         self.load_tracker = openings.LoadTracker()
         self.failure_detector = openings.FailureDetector()
         self._flow_tracker = openings.FlowTracker(self.load_tracker)
@@ -123,10 +129,13 @@
 
     def next_retry_at(self) -> datetime.timedelta | None:
         """Return when `retry_openings` is next due; None if nothing waits."""
-        oldest = self._pending.oldest
-        if oldest is None:
-            return None
-        return oldest.last_tried_at + self._settings.retry_timeout
+        settings = self._settings
+        due = []
+        if (opening := self._pending.oldest) is not None:
+            due.append(opening.last_tried_at + settings.retry_timeout)
+        if (held := self._held.oldest) is not None:
+            due.append(held.received_at + settings.hold_limit)
+        return min(due, default=None)
 
     def retry_openings(
         self, now: datetime.timedelta
@@ -135,9 +144,15 @@
 
         All packets that wait in the socket must have been handled before:
         the answer to an opening may be among them. Openings that wait for an
-        upstream are placed if there is one now.
+        upstream are placed if there is one now. Packets that were held for
+        too long are dropped.
         """
-        decisions: list[effects.Decision] = []
+        decisions: list[effects.Decision] = [
+            _UNKNOWN_TOKEN
+            for _ in self._held.take_older_than(
+                now - self._settings.hold_limit
+            )
+        ]
         due = now - self._settings.retry_timeout
         for opening in self._pending.older_than(due):
             self._pending.pop(opening.key)
@@ -153,6 +168,25 @@
                 decisions.append(decision)
         return decisions
 
+    def resume_waiting(
+        self, now: datetime.timedelta
+    ) -> list[effects.Decision]:
+        """Handle what waits for lists or upstreams, after these changed."""
+        if not self._directory.complete:
+            return []
+        decisions = [
+            self._handle_established(held.data, held.packet, now)
+            for held in self._held.take_all()
+        ]
+        for opening in self._pending.unplaced():
+            if self._is_abandoned(opening, now):
+                self._pending.pop(opening.key)
+                continue
+            decision = self._place(opening, now)
+            if not isinstance(decision, effects.Wait):
+                decisions.append(decision)
+        return decisions
+
     def take_observations(self) -> list[effects.Observation]:
         """Return and clear the observations since the last call."""
         observations = self._observations
@@ -161,8 +195,9 @@
         return observations
 
     def discard_pending(self) -> None:
-        """Discard pending openings, which are out of date after a pause."""
+        """Discard what waits here, which is out of date after a pause."""
         self._pending.clear()
+        self._held.take_all()
 
     def expire(self, now: datetime.timedelta) -> None:
         """Remove idle flows and expired upstreams."""
@@ -303,7 +338,10 @@
         key = packet.key
         entry = self._directory.find_upstream(key[2:], packet.token)
         if entry is None:
-            return _UNKNOWN_TOKEN
+            if self._directory.complete:
+                return _UNKNOWN_TOKEN
+            self._held.put(data, packet, now)
+            return _WAIT_FOR_CONFIGURATION
         if self._directory.find_route(key[2:]) is None:
             return _NO_ROUTE
         upstream_id = entry.upstream_id
--- a/acaciamoor/forwarder/shell/adoption.py
+++ b/acaciamoor/forwarder/shell/adoption.py
@@ -1,5 +1,6 @@
 """Applies changes from the store to the directory."""
 
+import collections.abc
 import logging
 
 from acaciamoor import clock as clocks
@@ -26,6 +27,8 @@
         Receives the warm-up times of upstreams.
     clock : Clock
         Source of time.
+    on_change : callable
+        Called when changes have been applied.
     """
 
     def __init__(
@@ -34,11 +37,13 @@
         directory: directories.Directory,
         core: cores.ForwarderCore,
         clock: clocks.Clock,
+        on_change: collections.abc.Callable[[], None],
     ) -> None:
         self._schema = schema
         self._directory = directory
         self._core = core
         self._clock = clock
+        self._on_change = on_change
 
     def apply(
         self,
@@ -64,6 +69,8 @@
             self._apply_upstreams(events, source)
             if replica.initialized:
                 self._directory.confirm_entries(replica.version)
+        if events:
+            self._on_change()
 
     def _apply_upstreams(
         self, events: list[platform.WatchEvent], source: str
--- a/acaciamoor/forwarder/shell/driver.py
+++ b/acaciamoor/forwarder/shell/driver.py
@@ -1,6 +1,7 @@
 """Passes received packets to the core and carries out its decisions."""
 
 import asyncio
+import collections.abc
 import datetime
 import functools
 import logging
@@ -76,6 +77,7 @@
         # Whether the waiting packets may be from before a pause.
         self._stale = False
         self._retry_timer: asyncio.TimerHandle | None = None
+        self._resuming = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self.on_resume = lambda: None
 
@@ -89,6 +91,20 @@
         """Close the socket."""
         self._socket.close(loop)
 
+    def schedule_waiting(self) -> None:
+        """Handle what waits for lists or upstreams as soon as possible."""
+        if self._loop is None or self._resuming:
+            return
+        if self._core.next_retry_at() is not None:
+            self._resuming = True
+            self._loop.call_soon(self._resume_waiting)
+
+    def _resume_waiting(self) -> None:
+        self._resuming = False
+        now = self._read_socket()
+        self._execute_all(self._core.resume_waiting, now)
+        self._arm_retry_timer(now, _ZERO)
+
     def _handle_batch(self) -> None:
         now = self._read_socket()
         self._record_observations()
@@ -231,14 +247,23 @@
             if not self._busy:
                 break
             now = self._read_socket()
+        if not self._busy:
+            self._execute_all(self._core.retry_openings, now)
+        self._arm_retry_timer(now, _BUSY_RETRY_INTERVAL)
+
+    def _execute_all(
+        self,
+        decide: collections.abc.Callable[
+            [datetime.timedelta], list[effects.Decision]
+        ],
+        now: datetime.timedelta,
+    ) -> None:
         try:
-            if not self._busy:
-                for decision in self._core.retry_openings(now):
-                    self._execute(decision, None)
+            for decision in decide(now):
+                self._execute(decision, None)
         except Exception:
             self._observer.record_failure(None)
         self._record_observations()
-        self._arm_retry_timer(now, _BUSY_RETRY_INTERVAL)
 
     def _tick(self) -> None:
         now, _ = self._check_for_pause()
--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -86,6 +86,8 @@
         self._started_at = clock.monotonic()
         self._first_seed = random_source.randrange(1 << 16)
         self._failed_links = 0
+        # Set if another host was asked for data and has none.
+        self._seeds_failed = asyncio.Event()
         self._links_by_peer: dict[replicas.Peer, asyncio.Task[None]] = {}
         self._last_role = replicas.Role.ALONE
 
@@ -114,7 +116,9 @@
             yield (
                 'the first listing',
                 functools.partial(
-                    source.read_initial_listing, self._get_seed_wait()
+                    source.read_initial_listing,
+                    self._get_seed_wait(),
+                    self._seeds_failed,
                 ),
             )
         yield 'reading the host list', self._poll_host_list
@@ -254,6 +258,7 @@
         except (OSError, EOFError, replicas.MessageError) as error:
             _LOG.info('relay %s is lost: %r', peer.host_id, error)
             self._failed_links += 1
+            self._stop_waiting_for_seeds()
             self._peers.mark_unreachable(peer.host_id, self._clock.monotonic())
         finally:
             if self._links_by_peer.get(peer) is asyncio.current_task():
@@ -282,11 +287,19 @@
         self, beat: replicas.Beat, now: datetime.timedelta
     ) -> None:
         """Update the ages of the replicas from a heartbeat of a relay."""
+        if not beat.progress_by_kind:
+            self._stop_waiting_for_seeds()
         for kind, progress in beat.progress_by_kind.items():
             replica = self._replicas_by_kind.get(kind)
             if replica is not None:
                 _confirm(replica, progress.version, progress.age, now)
 
+    def _stop_waiting_for_seeds(self) -> None:
+        # At the first start of a site the seeds get data a little later, and
+        # waiting saves two calls a host. After a power cut callers wait.
+        if not self._settings.first_start:
+            self._seeds_failed.set()
+
     async def _poll_host_list(self) -> None:
         registered = False
         peers = self._peers
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -131,7 +131,11 @@
             schema,
             store,
             adoption.DirectoryUpdater(
-                schema, self._directory, self._core, clock
+                schema,
+                self._directory,
+                self._core,
+                clock,
+                self._driver.schedule_waiting,
             ),
             clock,
             random_source,
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -161,6 +161,11 @@
                     kind, batch, replica.age(now)
                 )
                 writer.write(self._codec.encode(update))
+        if not any(
+            replica.initialized for replica in self._replicas_by_kind.values()
+        ):
+            # A host that starts then asks the store without waiting.
+            writer.write(self._codec.encode(replicas.Beat({})))
         previous = self._writers_by_host.pop(hello.host_id, None)
         if previous is not None:
             previous.close()
--- a/acaciamoor/forwarder/shell/sources.py
+++ b/acaciamoor/forwarder/shell/sources.py
@@ -86,7 +86,7 @@
         self._listed_at: datetime.timedelta | None = None
 
     async def read_initial_listing(
-        self, seed_wait: datetime.timedelta
+        self, seed_wait: datetime.timedelta, seeds_failed: asyncio.Event
     ) -> None:
         """Fill the replica from the store, unless a seed does so at once.
 
@@ -98,9 +98,11 @@
         ----------
         seed_wait : datetime.timedelta
             Time to wait for data from another host.
+        seeds_failed : Event
+            Set if another host was asked and has no data.
         """
         replica = self._replica
-        if await self._is_confirmed_within(seed_wait):
+        if await self._is_confirmed_within(seed_wait, seeds_failed):
             self._listed_at = self._clock.monotonic()
             return
         sent_at = self._clock.monotonic()
@@ -124,14 +126,16 @@
         )
         replica.confirm(listing.version, sent_at)
 
-    async def _is_confirmed_within(self, wait: datetime.timedelta) -> bool:
+    async def _is_confirmed_within(
+        self, wait: datetime.timedelta, seeds_failed: asyncio.Event
+    ) -> bool:
         """Wait for data from another host; return whether it arrived."""
         end = self._clock.monotonic() + wait
-        while self._clock.monotonic() < end:
+        while self._clock.monotonic() < end and not seeds_failed.is_set():
             if self._replica.age(self._clock.monotonic()) is not None:
                 return True
             await asyncio.sleep(_SEED_POLL_INTERVAL.total_seconds())
-        return False
+        return self._replica.age(self._clock.monotonic()) is not None
 
     def update_calls(
         self,
--- a/acaciamoor/forwarder/tests/test_adoption.py
+++ b/acaciamoor/forwarder/tests/test_adoption.py
@@ -48,6 +48,7 @@
             self.directory,
             builders.core(self.directory),
             clock.ManualClock(),
+            lambda: None,
         )
 
     def apply(self, *names: str, version: int) -> list[str]:
--- a/acaciamoor/forwarder/tests/test_data_centre.py
+++ b/acaciamoor/forwarder/tests/test_data_centre.py
@@ -291,5 +291,19 @@
         self.assertEqual(sorted(set(kinds)), sorted(kinds), received)
 
 
+class RestartTest(DataCentreTestCase):
+    """All hosts of a data centre start again at once, while callers wait."""
+
+    async def test_hosts_do_not_wait_for_seeds_without_data(self):
+        """Guards against waiting for hosts that have just started as well."""
+        self.add_hosts(HOSTS)
+        await self.store.put('desk-1')
+        seeds = [peer.address for peer in self.store.peers[:3]]
+        with mock.patch.object(limits, 'SEED_GRACE', 60 * SECOND):
+            for own in self.store.peers:
+                self.start(own, seeds)
+            await self.wait_for_all('desk-1')
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/acaciamoor/load/scenarios/opening_naive.py
+++ b/acaciamoor/load/scenarios/opening_naive.py
@@ -44,6 +44,13 @@
     ) -> effects.Drop:
         return self._wait(opening, now, None)
 
+    def _handle_established(
+        self, data: bytes, packet: packets.Packet, now: datetime.timedelta
+    ) -> effects.Decision:
+        if not self._directory.complete:
+            return effects.Drop(effects.DropReason.UNKNOWN_TOKEN)
+        return super()._handle_established(data, packet, now)
+
 
 class NaiveDriver(drivers.Driver):
     """Retries openings without reading the packets that wait."""
--- a/acaciamoor/load/scenarios/opening_patterns.py
+++ b/acaciamoor/load/scenarios/opening_patterns.py
@@ -46,6 +46,9 @@
         Time at which the host receives routes and upstreams.
     outages : tuple of Outage
         Failures of upstreams.
+    sent_on_open_flows_s : tuple of float
+        Times at which callers send a packet on flows that are open. They may
+        be before the start of the host; only the copies reach it then.
     """
 
     name: str
@@ -54,6 +57,7 @@
     packet_cost_s: float = 0.0001
     lists_at_s: float = 0.0
     outages: tuple[Outage, ...] = ()
+    sent_on_open_flows_s: tuple[float, ...] = ()
 
 
 def poisson(
@@ -110,6 +114,20 @@
     )
 
 
+def return_after_a_power_cut(seed: int) -> Pattern:
+    """Return a host that starts 1.2 s after all hosts lost power.
+
+    Callers have sent opening packets, and packets on open flows, all the
+    while. The lists arrive 75 ms after the process has started.
+    """
+    return Pattern(
+        'return after a power cut',
+        poisson(60, 0.0, 2.0, seed),
+        lists_at_s=0.075,
+        sent_on_open_flows_s=poisson(100, -1.2, 0.5, seed + 1),
+    )
+
+
 def half_of_the_upstreams_fail(seed: int) -> Pattern:
     """Return upstreams that fall silent while they are still listed."""
     return Pattern(
@@ -124,5 +142,6 @@
     gap_in_a_release,
     service_without_upstreams,
     start_without_lists,
+    return_after_a_power_cut,
     half_of_the_upstreams_fail,
 )
--- a/acaciamoor/load/scenarios/opening_replay.py
+++ b/acaciamoor/load/scenarios/opening_replay.py
@@ -2,12 +2,15 @@
 
 The driver and the core are those of the product; only the socket, the event
 loop, callers and upstreams are modelled. Callers retransmit an opening packet
-after 200 and 600 ms and give up after 1.4 s, as on the users' platform.
+after 200 and 600 ms and give up after 1.4 s, and a packet of an open flow
+after 200, 600 and 1,400 ms, as on the users' platform.
 """
 
 import collections
+import collections.abc
 import dataclasses
 import datetime
+import functools
 import heapq
 import itertools
 import random
@@ -27,6 +30,7 @@
 _DATA_CENTRE = model.DataCentre('kgn-a')
 _COPIES_AT_S = (0.0, 0.2, 0.6)
 _GIVE_UP_AFTER_S = 1.4
+_RETRANSMISSIONS_AT_S = (0.0, 0.2, 0.6, 1.4)
 _ONE_WAY_S = 0.001
 _ANSWER_AFTER_S = 0.004
 _SECOND = datetime.timedelta(seconds=1)
@@ -60,6 +64,9 @@
         Opening packets that reached upstreams, for each flow.
     false_suspicions : int
         Suspicions of upstreams that answered.
+    open_flow_wait_s : float
+        Mean time until packets of open flows were forwarded, from when they
+        were sent or the host started, in seconds.
     """
 
     opened: float
@@ -68,6 +75,7 @@
     refusal_wait_s: float
     copies: float
     false_suspicions: int
+    open_flow_wait_s: float
 
 
 class _Codec:
@@ -133,6 +141,7 @@
         self._callers = [
             Caller(number, at) for number, at in enumerate(pattern.arrivals_s)
         ]
+        self._forwarded_at_by_flow: dict[int, float] = {}
         self._copies = 0
         self._false_suspicions = 0
         settings = forwarder.CoreSettings(_DATA_CENTRE)
@@ -164,6 +173,9 @@
     def send(self, data: bytes, address: tuple[str, int]) -> None:
         """Carry a packet to an upstream, or a reset to a caller."""
         parts = [int(part) for part in data.split()]
+        if parts[0] >= len(self._callers):
+            self._forwarded_at_by_flow.setdefault(parts[0], self._now())
+            return
         caller = self._callers[parts[0]]
         if len(parts) == 1:
             self._end(caller, opened=False)
@@ -180,6 +192,10 @@
         heapq.heappush(self._timers, event)
         return action
 
+    def call_soon(self, action) -> object:
+        """Schedule an action of the host at once; return its handle."""
+        return self.call_later(0.0, action)
+
     def run(self) -> Outcome:
         """Replay the pattern; return what callers saw."""
         for caller in self._callers:
@@ -190,6 +206,12 @@
             self._schedule_at(
                 caller.started_at + _GIVE_UP_AFTER_S, self._end, caller, False
             )
+        for number, sent_at in self._open_flows():
+            for delay in _RETRANSMISSIONS_AT_S:
+                if sent_at + delay >= 0.0:
+                    self._schedule_at(
+                        sent_at + delay, self._send_on_open_flow, number
+                    )
         self._schedule_at(self._pattern.lists_at_s, self._give_lists)
         for outage in self._pattern.outages:
             self._schedule_at(outage.start_s, self._update_entries)
@@ -250,6 +272,17 @@
         if caller.ended_at is None:
             self._waiting.append(b'%d %d 0' % (caller.number, copy))
 
+    def _open_flows(self) -> collections.abc.Iterator[tuple[int, float]]:
+        """Yield number and time of the packets sent on open flows."""
+        return enumerate(
+            self._pattern.sent_on_open_flows_s, len(self._callers)
+        )
+
+    def _send_on_open_flow(self, number: int) -> None:
+        if number not in self._forwarded_at_by_flow:
+            token = _token_of(1 + number % self._pattern.upstreams)
+            self._waiting.append(b'%d -1 %d' % (number, token))
+
     def _open(self, caller: Caller, token: int) -> None:
         if caller.ended_at is None:
             self._end(caller, opened=True)
@@ -270,6 +303,7 @@
         )
         self._update_entries()
         self._directory.confirm_entries(1)
+        self._driver.schedule_waiting()
 
     def _update_entries(self) -> None:
         unlisted = max(
@@ -287,6 +321,7 @@
             self._directory.put_upstream(
                 _make_entry(number, self._revision, draining)
             )
+        self._driver.schedule_waiting()
 
     def _outcome(self) -> Outcome:
         opened = [item for item in self._callers if item.opened]
@@ -300,8 +335,17 @@
             / max(1, len(ended)),
             self._copies / len(self._callers),
             self._false_suspicions,
+            self._mean_wait_on_open_flows(),
         )
 
+    def _mean_wait_on_open_flows(self) -> float:
+        waits = [
+            self._forwarded_at_by_flow.get(number, self._now())
+            - max(0.0, sent_at)
+            for number, sent_at in self._open_flows()
+        ]
+        return sum(waits) / max(1, len(waits))
+
 
 class _Observer(observers.Observer):
     """Observer that passes suspicions on and writes no log."""
@@ -319,6 +363,15 @@
         """Write nothing: a replay has thousands of flows."""
 
 
+@functools.cache
+def _token_of(number: int) -> int:
+    """Return the token of an upstream, as other hosts compute it."""
+    directory = directories.Directory()
+    entry = _make_entry(number, 1, draining=False)
+    directory.put_upstream(entry)
+    return directory.token_of(_ADDRESS, entry.upstream_id)
+
+
 def _make_entry(
     number: int, revision: int, draining: bool
 ) -> directories.UpstreamEntry:
--- a/acaciamoor/load/scenarios/openings.py
+++ b/acaciamoor/load/scenarios/openings.py
@@ -111,6 +111,7 @@
             ('wait of the others', outcome.refusal_wait_s, 's'),
             ('opening packets at upstreams', outcome.copies, 'per flow'),
             ('false suspicions', outcome.false_suspicions, 'suspicions'),
+            ('wait on open flows', outcome.open_flow_wait_s, 's'),
         )
     ]
 
--- a/acaciamoor/load/tests/test_opening_patterns.py
+++ b/acaciamoor/load/tests/test_opening_patterns.py
@@ -39,6 +39,15 @@
     )
 
 
+def first_copy_at_host(sent_at_s):
+    """Return when the first copy of a packet meets a host that is up."""
+    return min(
+        sent_at_s + delay
+        for delay in (0.0, 0.2, 0.6, 1.4)
+        if sent_at_s + delay >= 0.0
+    )
+
+
 class OpeningPatternTest(unittest.TestCase):
     def assert_halfway(self, product, naive, best):
         """Check that at least half of the possible gain is reached."""
@@ -84,6 +93,32 @@
                     best_wait(pattern, 0.0, pattern.lists_at_s),
                 )
 
+    def test_open_flows_wait_for_the_lists_after_a_power_cut(self):
+        """Guards against packets of open flows that a starting host drops.
+
+        Their callers retransmit at intervals that have doubled meanwhile.
+        """
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                pattern = opening_patterns.return_after_a_power_cut(seed)
+                product, naive = replay(pattern, seed)
+                self.assertEqual(1.0, product.opened)
+                best = statistics.mean(
+                    max(0.0, pattern.lists_at_s - arrived_at)
+                    for arrived_at in map(
+                        first_copy_at_host, pattern.sent_on_open_flows_s
+                    )
+                )
+                waiting = statistics.mean(
+                    first_copy_at_host(sent_at) - max(0.0, sent_at)
+                    for sent_at in pattern.sent_on_open_flows_s
+                )
+                self.assert_halfway(
+                    product.open_flow_wait_s,
+                    naive.open_flow_wait_s,
+                    best + waiting,
+                )
+
     def test_service_without_upstreams_is_refused(self):
         """Guards against callers that wait 1.4 s for nothing."""
         for seed in SEEDS:
--- a/acaciamoor/openings/pending.py
+++ b/acaciamoor/openings/pending.py
@@ -97,6 +97,14 @@
                 return
             yield opening
 
+    def unplaced(self) -> list[Opening]:
+        """Return the openings that no upstream has been sent yet."""
+        return [
+            opening
+            for opening in self._openings_by_key.values()
+            if not opening.tried_ids
+        ]
+
     @property
     def oldest(self) -> Opening | None:
         """Opening whose latest attempt is the longest ago, or None."""
