--- a/acaciamoor/explain/tests/test_timeline.py
+++ b/acaciamoor/explain/tests/test_timeline.py
@@ -53,6 +53,23 @@
             [item.message for item in timeline.lines],
         )
 
+    def test_line_about_many_upstreams_is_shown_for_each(self):
+        """Guards against changes that only the shared line of a batch has."""
+        together = line(
+            5,
+            'h-2',
+            '5 upstreams are gone, learned from store',
+            upstreams='desk-0 desk-1 desk-2 desk-3 desk-4',
+        )
+        parsed = [explain.parse_line(text) for text in [*LINES, together]]
+        timeline = explain.Timeline(
+            [item for item in parsed if item is not None], FLOW
+        )
+        self.assertIn(
+            '5 upstreams are gone, learned from store',
+            [item.message for item in timeline.lines],
+        )
+
     def run_program(self, *arguments):
         """Run the program and return its exit code and output."""
         output = io.StringIO()
--- a/acaciamoor/explain/timeline.py
+++ b/acaciamoor/explain/timeline.py
@@ -53,11 +53,15 @@
         A caller is given as ``ip:port`` and matches all of its flows.
         """
         flow = str(self.fields.get('flow', ''))
-        return subject in (
-            flow,
-            flow.partition('>')[0],
-            self.fields.get('upstream'),
-        )
+        return subject in (flow, flow.partition('>')[0], *self.upstreams)
+
+    @property
+    def upstreams(self) -> frozenset[str]:
+        """Upstreams that the line names."""
+        names = str(self.fields.get('upstreams', '')).split()
+        if 'upstream' in self.fields:
+            names.append(str(self.fields['upstream']))
+        return frozenset(names)
 
     def __str__(self) -> str:
         shown = ' '.join(
@@ -121,7 +125,9 @@
         if not matching:
             return
         hosts = {line.host for line in matching}
-        upstreams = {line.fields.get('upstream') for line in matching} - {None}
+        upstreams = frozenset[str]().union(
+            *(line.upstreams for line in matching if 'flow' in line.fields)
+        )
         first, last = matching[0].time - margin, matching[-1].time + margin
         self.lines = tuple(
             line
@@ -141,7 +147,8 @@
     return line.host in hosts and line.message.startswith(_HOST_EVENT_PREFIXES)
 
 
-def _is_upstream_event(line: LogLine, upstreams: set[str]) -> bool:
-    return line.fields.get(
-        'upstream'
-    ) in upstreams and line.message.startswith('upstream')
+def _is_upstream_event(line: LogLine, upstreams: frozenset[str]) -> bool:
+    about_upstreams = (
+        line.message.startswith('upstream') or 'learned from' in line.message
+    )
+    return about_upstreams and not upstreams.isdisjoint(line.upstreams)
--- a/acaciamoor/forwarder/shell/adoption.py
+++ b/acaciamoor/forwarder/shell/adoption.py
@@ -14,6 +14,10 @@
 _LOG = logging.getLogger(__name__)
 
 
+# Changes to the same state in one batch above which they share a log line.
+_MAX_LINES_PER_STATE = 4
+
+
 class DirectoryUpdater:
     """Updates routes and upstreams of the directory from stored objects.
 
@@ -76,19 +80,12 @@
         self, events: list[platform.WatchEvent], source: str
     ) -> None:
         initial = not self._directory.entries_by_id
+        changed_by_state: dict[str, list[platform.StoredObject]] = {}
         for event in events:
             if event.stored is not None:
                 state = self._apply_upstream_safely(event)
-                if state and not initial:
-                    _LOG.info(
-                        'upstream is %s, learned from %s',
-                        state,
-                        source,
-                        extra={
-                            'upstream': event.stored.name,
-                            'version': event.version,
-                        },
-                    )
+                if state:
+                    changed_by_state.setdefault(state, []).append(event.stored)
         if initial and events:
             # One line for each upstream would slow down the start of a host.
             _LOG.info(
@@ -96,6 +93,9 @@
                 len(self._directory.entries_by_id),
                 source,
             )
+            return
+        for state, changed in changed_by_state.items():
+            _log_upstreams(state, changed, source)
 
     def _apply_routes(self, event: platform.WatchEvent, source: str) -> None:
         stored = event.stored
@@ -145,3 +145,28 @@
             upstream_id, entry.remaining_warm_up, now
         )
         return entry.upstream.state.value
+
+
+def _log_upstreams(
+    state: str, changed: list[platform.StoredObject], source: str
+) -> None:
+    if len(changed) > _MAX_LINES_PER_STATE:
+        # When a site starts, each host learns of all upstreams in a second.
+        _LOG.info(
+            '%d upstreams are %s, learned from %s',
+            len(changed),
+            state,
+            source,
+            extra={
+                'upstreams': ' '.join(stored.name for stored in changed),
+                'version': max(stored.version for stored in changed),
+            },
+        )
+        return
+    for stored in changed:
+        _LOG.info(
+            'upstream is %s, learned from %s',
+            state,
+            source,
+            extra={'upstream': stored.name, 'version': stored.version},
+        )
--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -9,11 +9,11 @@
 
 from acaciamoor import clock as clocks
 from acaciamoor import model
-from acaciamoor import platform
 from acaciamoor import replica as replicas
 from acaciamoor import supervision
 from acaciamoor.forwarder import store_schema as schemas
 from acaciamoor.forwarder.shell import adoption as adoptions
+from acaciamoor.forwarder.shell import discovery
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import relay_link
 from acaciamoor.forwarder.shell import relay_server
@@ -53,30 +53,38 @@
         random_source: random.Random,
     ) -> None:
         self._settings = settings
-        self._schema = schema
-        self._store = store
         self._updater = updater
         self._clock = clock
-        self._random = random_source
+        # Confirmations of an earlier process of this host have other numbers.
+        origin = f'{settings.own.host_id}/{random_source.getrandbits(32):x}'
         self._replicas_by_kind = {
-            kind: replicas.Replica(kind)
+            kind: replicas.Replica(kind, origin)
             for kind in (schema.routes_kind, schema.upstreams_kind)
         }
         self._peers = replicas.PeerList(settings.own)
         self._age_limits = settings.get_age_limits(self._peers.search_period)
         self._server = relay_server.RelayServer(
-            settings.own.address, self._replicas_by_kind, clock
+            settings.own.address, self._replicas_by_kind, self._peers, clock
         )
         self.calls = exposition.Counter(
             'acaciamoor_forwarder_store_calls_total',
             'Calls to the store by kind; failed calls are not repeated here.',
         )
+        self._host_list_reader = discovery.HostListReader(
+            settings,
+            schema,
+            store,
+            self._peers,
+            self._server.publish_peers,
+            self.calls,
+            clock,
+            random_source,
+        )
         self._sources = [
             sources.StoreSource(
                 replica,
                 store,
                 self._apply_batch,
-                self._server.send_heartbeat,
                 self.calls,
                 clock,
                 random_source,
@@ -88,7 +96,7 @@
         self._failed_links = 0
         # Set if another host was asked for data and has none.
         self._seeds_failed = asyncio.Event()
-        self._links_by_peer: dict[replicas.Peer, asyncio.Task[None]] = {}
+        self._links_by_address: dict[model.Address, asyncio.Task[None]] = {}
         self._last_role = replicas.Role.ALONE
 
     async def run(self) -> None:
@@ -121,15 +129,17 @@
                     self._seeds_failed,
                 ),
             )
-        yield 'reading the host list', self._poll_host_list
+        yield 'reading the host list', self._host_list_reader.run
         yield 'sending heartbeats', self._send_heartbeats
         yield 'selecting sources', self._update_sources
 
     def _get_seed_wait(self) -> datetime.timedelta:
-        delay = self._peers.registration_delay
-        if self._settings.first_start and delay:
-            return delay + limits.FIRST_START_GRACE
-        return limits.SEED_GRACE
+        settings = self._settings
+        if not settings.first_start:
+            return limits.SEED_GRACE
+        if settings.own.address in settings.seeds:
+            return datetime.timedelta(0)
+        return self._peers.registration_delay + limits.FIRST_START_GRACE
 
     def close_connections(self) -> None:
         """Close all connections, which may be dead after a pause.
@@ -138,9 +148,9 @@
         """
         for source in self._sources:
             source.cancel()
-        for task in self._links_by_peer.values():
+        for task in self._links_by_address.values():
             task.cancel()
-        self._links_by_peer.clear()
+        self._links_by_address.clear()
 
     def age(self) -> datetime.timedelta | None:
         """Return the largest age of the replicas; None if one has no age."""
@@ -159,29 +169,31 @@
         return self._server.listeners
 
     def _apply_batch(
-        self, replica: replicas.Replica, batch: replicas.Batch, source: str
+        self,
+        replica: replicas.Replica,
+        batch: replicas.Batch,
+        source: str,
+        confirm: collections.abc.Callable[[], bool],
     ) -> None:
         base = replica.version
         events = replica.apply(batch)
         self._updater.apply(replica, events, source)
+        confirmed = confirm()
         if replica.version != base:
             # Also without events: listeners that stay at an older version
             # would not accept confirmations of this one.
-            self._server.publish(
-                replica.kind,
-                replicas.Batch(
-                    base,
-                    replica.version,
-                    tuple(events),
-                    # Hosts may have connected before there was any data.
-                    snapshot=not base,
-                ),
-            )
+            self._server.publish(replica.kind, replica.changes_since(base))
+        elif confirmed:
+            self._server.pass_on_confirmation()
 
     async def _send_heartbeats(self) -> None:
+        interval = limits.HEARTBEAT_INTERVAL
         while True:
-            await asyncio.sleep(limits.HEARTBEAT_INTERVAL.total_seconds())
-            self._server.send_heartbeat()
+            await asyncio.sleep(
+                (interval - self._server.idle_time).total_seconds()
+            )
+            if self._server.idle_time >= interval:
+                self._server.send_heartbeat()
 
     async def _update_sources(self) -> None:
         while True:
@@ -196,7 +208,7 @@
         role = self._peers.role(now)
         if role is replicas.Role.LISTENER and self._server.listeners:
             # Other hosts use this one as a relay.
-            role = replicas.Role.STANDBY
+            role = replicas.Role.BRANCH
         if role != self._last_role:
             _LOG.info('this host is %s now', role.value)
             self._last_role = role
@@ -206,19 +218,29 @@
         self, relays: tuple[replicas.Peer, ...], now: datetime.timedelta
     ) -> None:
         wanted = set(relays)
-        if not all(
-            item.initialized for item in self._replicas_by_kind.values()
-        ):
-            wanted = self._select_initial_peers(now)
+        if not self._initialized:
+            wanted = set(self._select_initial_peers(now))
+        elif now - self._started_at < limits.SEED_LINK_PERIOD:
+            wanted.update(self._select_seeds(now))
         wanted.discard(self._settings.own)
-        for peer in self._links_by_peer.keys() - wanted:
-            self._links_by_peer.pop(peer).cancel()
-        for peer in wanted - self._links_by_peer.keys():
-            self._links_by_peer[peer] = supervision.spawn(self._run_link(peer))
+        peers_by_address = {peer.address: peer for peer in wanted}
+        links = self._links_by_address
+        for address in links.keys() - peers_by_address.keys():
+            links.pop(address).cancel()
+        for address in peers_by_address.keys() - links.keys():
+            links[address] = supervision.spawn(
+                self._run_link(peers_by_address[address])
+            )
+
+    @property
+    def _initialized(self) -> bool:
+        return all(
+            item.initialized for item in self._replicas_by_kind.values()
+        )
 
     def _select_initial_peers(
         self, now: datetime.timedelta
-    ) -> set[replicas.Peer]:
+    ) -> collections.abc.Sequence[replicas.Peer]:
         """Return the hosts to ask for whole collections.
 
         At first it is a single one, since every host that is asked sends both
@@ -226,29 +248,37 @@
         """
         fallback_peers = self._peers.fallback_peers(now)
         elapsed = now - self._started_at
-        if elapsed < limits.SINGLE_SOURCE_PERIOD and fallback_peers:
-            return set(fallback_peers[:1])
-        if fallback_peers:
-            return set(fallback_peers)
-        seeds = self._seed_peers()
-        if not seeds:
-            return set()
-        # Hosts start with different seeds, and go on to the next one if theirs
-        # is down or has no data either.
-        turn = self._failed_links + elapsed // limits.SEED_TURN
-        return {seeds[(self._first_seed + turn) % len(seeds)]}
-
-    def _seed_peers(self) -> list[replicas.Peer]:
+        if elapsed >= limits.SINGLE_SOURCE_PERIOD and fallback_peers:
+            return fallback_peers
+        return self._select_seeds(now) or fallback_peers[:1]
+
+    def _select_seeds(
+        self, now: datetime.timedelta
+    ) -> collections.abc.Sequence[replicas.Peer]:
+        """Return a seed to connect to; on seeds, all others.
+
+        Hosts start with different seeds, and go on to the next one if theirs
+        is down or has no data.
+        """
         own = self._settings.own
-        return [
-            replicas.Peer(model.HostId(str(address)), own.data_centre, address)
+        seeds = [
+            self._peers.find(address)
+            or replicas.Peer(
+                model.HostId(str(address)), own.data_centre, address
+            )
             for address in self._settings.seeds
             if address != own.address
         ]
+        if not seeds or own.address in self._settings.seeds:
+            return seeds
+        turn = self._failed_links
+        if not self._initialized:
+            turn += (now - self._started_at) // limits.SEED_TURN
+        return [seeds[(self._first_seed + turn) % len(seeds)]]
 
     async def _run_link(self, peer: replicas.Peer) -> None:
         link = relay_link.RelayLink(
-            self._settings.own.host_id,
+            self._settings.own,
             peer,
             self._replicas_by_kind,
             self._on_message,
@@ -261,8 +291,9 @@
             self._stop_waiting_for_seeds()
             self._peers.mark_unreachable(peer.host_id, self._clock.monotonic())
         finally:
-            if self._links_by_peer.get(peer) is asyncio.current_task():
-                del self._links_by_peer[peer]
+            links = self._links_by_address
+            if links.get(peer.address) is asyncio.current_task():
+                del links[peer.address]
 
     def _on_message(
         self, peer: replicas.Peer, message: replicas.Message
@@ -280,8 +311,12 @@
         """Apply an update from a relay."""
         replica = self._replicas_by_kind.get(update.kind)
         if replica is not None:
-            self._apply_batch(replica, update.to_batch(), peer.host_id)
-            _confirm(replica, update.version, update.age, now)
+            self._apply_batch(
+                replica,
+                update.to_batch(),
+                peer.host_id,
+                functools.partial(update.progress.confirm, replica, now),
+            )
 
     def apply_heartbeat(
         self, beat: replicas.Beat, now: datetime.timedelta
@@ -289,10 +324,21 @@
         """Update the ages of the replicas from a heartbeat of a relay."""
         if not beat.progress_by_kind:
             self._stop_waiting_for_seeds()
+        confirmed = False
         for kind, progress in beat.progress_by_kind.items():
             replica = self._replicas_by_kind.get(kind)
             if replica is not None:
-                _confirm(replica, progress.version, progress.age, now)
+                confirmed |= progress.confirm(replica, now)
+        if confirmed:
+            self._server.pass_on_confirmation()
+
+    def add_peers(self, peers: replicas.Peers) -> None:
+        """Add the hosts that a relay knows, and pass on the new ones."""
+        self._server.publish_peers(
+            self._peers.add(
+                (state.to_peer() for state in peers.peers), replace=False
+            )
+        )
 
     def _stop_waiting_for_seeds(self) -> None:
         # At the first start of a site the seeds get data a little later, and
@@ -300,88 +346,6 @@
         if not self._settings.first_start:
             self._seeds_failed.set()
 
-    async def _poll_host_list(self) -> None:
-        registered = False
-        peers = self._peers
-        started_at = now = self._clock.monotonic()
-        register_at = started_at + peers.registration_delay
-        interval = limits.INITIAL_HOST_LIST_INTERVAL
-        if self._settings.first_start and peers.registration_delay:
-            # Until then, no one has anything to find in the list.
-            jitter = self._random.random() * limits.FIRST_READ_JITTER
-            await asyncio.sleep(
-                (peers.registration_delay + jitter).total_seconds()
-            )
-        while True:
-            # Entries that were written just now decide who registers.
-            searching = (
-                self._settings.first_start
-                and now - started_at < peers.search_period
-            )
-            try:
-                self.calls.add(call='list', kind=self._schema.hosts_kind)
-                listing = await self._store.watch.read_all(
-                    self._schema.hosts_kind, stale=not searching
-                )
-                self._update_peers(listing)
-                now = self._clock.monotonic()
-                if (
-                    not registered
-                    and now >= register_at
-                    and peers.needs_registration(now)
-                ):
-                    registered = await self._register(listing)
-            except platform.StoreError as error:
-                _LOG.info('reading or writing the host list failed: %r', error)
-                await asyncio.sleep(
-                    limits.HOST_LIST_RETRY_DELAY.total_seconds()
-                )
-                continue
-            if peers.has_lost_relays(now):
-                interval = limits.INITIAL_HOST_LIST_INTERVAL
-            elif peers.relays(now):
-                interval = max(interval, limits.HOST_LIST_INTERVAL_WITH_RELAYS)
-            jitter = 0.5 + self._random.random()
-            await asyncio.sleep(interval.total_seconds() * jitter)
-            interval = min(2 * interval, limits.MAX_HOST_LIST_INTERVAL)
-
-    def _update_peers(self, listing: platform.Listing) -> None:
-        found = (
-            self._schema.decode_host(stored) for stored in listing.objects
-        )
-        self._peers.replace(peer for peer in found if peer is not None)
-
-    async def _register(self, listing: platform.Listing) -> bool:
-        own = self._settings.own
-        value = self._schema.encode_host(own)
-        version = None
-        for stored in listing.objects:
-            if stored.name == own.host_id:
-                if stored.value == value:
-                    return True
-                version = stored.version
-        write = platform.Write(
-            self._schema.hosts_kind, own.host_id, value, (), version
-        )
-        self.calls.add(call='write', kind=write.kind)
-        try:
-            await self._store.watch.write(write)
-        except platform.Conflict:
-            # The listing was stale; the next one is used instead.
-            return False
-        return True
-
-
-def _confirm(
-    replica: replicas.Replica,
-    version: int,
-    age_seconds: float,
-    now: datetime.timedelta,
-) -> None:
-    age = replicas.messages.decode_age(age_seconds)
-    if age is not None:
-        replica.confirm(version, now - age)
-
 
 @functools.singledispatch
 def _handle_message(
@@ -415,3 +379,13 @@
     now: datetime.timedelta,
 ) -> None:
     synchronizer.apply_heartbeat(message, now)
+
+
+@_handle_message.register
+def _add_peers(
+    message: replicas.Peers,
+    synchronizer: StoreSynchronizer,
+    peer: replicas.Peer,
+    now: datetime.timedelta,
+) -> None:
+    synchronizer.add_peers(message)
--- a/acaciamoor/forwarder/shell/limits.py
+++ b/acaciamoor/forwarder/shell/limits.py
@@ -19,19 +19,22 @@
 CALL_TIMEOUT = datetime.timedelta(milliseconds=800)
 # Wait of a call that fetches only the changes that already exist.
 REFRESH_WAIT = datetime.timedelta(milliseconds=1)
-# Interval between heartbeats to listeners.
+# Longest interval between heartbeats to listeners. Confirmations are passed on
+# at once.
 HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=400)
 # Interval at which a host decides which sources it needs.
 SOURCE_CHECK_INTERVAL = datetime.timedelta(milliseconds=200)
 # Initial and maximum mean interval between reads of the host list; it doubles
 # with each read. All hosts of a site may start within 0.3 s of each other and
-# find the list empty. Until a host finds the others in it, it watches the
-# store itself.
+# find the list empty.
 INITIAL_HOST_LIST_INTERVAL = datetime.timedelta(milliseconds=400)
 MAX_HOST_LIST_INTERVAL = datetime.timedelta(seconds=20)
-# Minimum mean interval for a host that has found relays. A new host connects
-# to the relays at once; other hosts need its entry only if it becomes a relay.
+# Minimum mean interval for a host that has found relays. Hosts tell each other
+# of new hosts; the list joins groups of hosts that do not know each other.
 HOST_LIST_INTERVAL_WITH_RELAYS = datetime.timedelta(seconds=5)
+# Time after its start at which a host first reads the host list. A seed sends
+# the hosts that it knows within a few milliseconds.
+FIRST_HOST_LIST_DELAY = datetime.timedelta(milliseconds=300)
 # Time that a starting host waits for data from its seeds before it lists the
 # collections itself. A connection and a snapshot take a few milliseconds.
 SEED_GRACE = datetime.timedelta(milliseconds=50)
@@ -39,9 +42,13 @@
 SINGLE_SOURCE_PERIOD = datetime.timedelta(milliseconds=400)
 # Time after which a host without data goes on to the next seed.
 SEED_TURN = datetime.timedelta(seconds=1)
+# Time after its start for which a host stays connected to a seed, so that
+# hosts that start together learn of each other.
+SEED_LINK_PERIOD = datetime.timedelta(seconds=3)
 # Time that a host waits for data at the first start of a site, in addition to
-# the delay of its registration. Hosts with wider links list the collections.
-FIRST_START_GRACE = datetime.timedelta(milliseconds=700)
+# the delay of its registration. The seeds list the collections, or else hosts
+# with wider links.
+FIRST_START_GRACE = datetime.timedelta(seconds=2)
 # Maximum jitter of the first read of the host list at the first start.
 FIRST_READ_JITTER = datetime.timedelta(milliseconds=300)
 # Time that a host waits for data from its relays after the initial listing.
@@ -49,15 +56,16 @@
 RELAY_CONNECT_GRACE = datetime.timedelta(milliseconds=400)
 # Delay before a failed read of the host list is retried.
 HOST_LIST_RETRY_DELAY = datetime.timedelta(seconds=3)
-# Age of a replica, as a share of the change bound, above which the second
-# relay and the listeners stop relying on relays. The rest of the bound leaves
-# time for a call to the store. The gap between the two shares leaves time for
-# the second relay to notice, call the store and send its update.
+# Age of a replica, as a share of the change bound, above which the standby,
+# the hosts that others listen to, and the listeners stop relying on relays.
+# The rest of the bound leaves time for a call to the store. The gaps between
+# the shares leave time for a host to notice, call the store and send its
+# update.
 _STANDBY_AGE_SHARE = 0.55
-_LISTENER_AGE_SHARE = 0.65
+_BRANCH_AGE_SHARE = 0.62
+_LISTENER_AGE_SHARE = 0.7
 # Share of the change bound that a relay waits for changes in one call.
-# Together with the backoff and the heartbeat interval it keeps the age at the
-# second relay below the standby share.
+# Together with the backoff it keeps the age at the standby below its share.
 _RELAY_WAIT_SHARE = 0.27
 # Share of the recovery bound that a call of a host without relays waits for
 # changes. A store that stopped responding never answers earlier calls; these
@@ -95,6 +103,7 @@
         """Return the ages above which the store must confirm a replica."""
         return replicas.AgeLimits(
             standby=self.change_bound * _STANDBY_AGE_SHARE,
+            branch=self.change_bound * _BRANCH_AGE_SHARE,
             listener=self.change_bound * _LISTENER_AGE_SHARE,
             connect_grace=RELAY_CONNECT_GRACE,
             search_period=search_period,
--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -4,7 +4,6 @@
 import collections.abc
 import datetime
 
-from acaciamoor import model
 from acaciamoor import replica as replicas
 
 # Connecting within a data centre takes less than 1 ms.
@@ -18,8 +17,8 @@
 
     Parameters
     ----------
-    own_id : HostId
-        Identifier of this host.
+    own : Peer
+        This host.
     peer : Peer
         Relay to connect to.
     replicas_by_kind : Mapping
@@ -30,14 +29,14 @@
 
     def __init__(
         self,
-        own_id: model.HostId,
+        own: replicas.Peer,
         peer: replicas.Peer,
         replicas_by_kind: collections.abc.Mapping[str, replicas.Replica],
         on_message: collections.abc.Callable[
             [replicas.Peer, replicas.Message], None
         ],
     ) -> None:
-        self._own_id = own_id
+        self._own = own
         self._peer = peer
         self._replicas_by_kind = replicas_by_kind
         self._on_message = on_message
@@ -68,11 +67,12 @@
 
     def _build_hello(self) -> replicas.Hello:
         return replicas.Hello(
-            self._own_id,
+            self._own.host_id,
             {
                 kind: replica.version
                 for kind, replica in self._replicas_by_kind.items()
             },
+            replicas.PeerState.from_peer(self._own),
         )
 
     async def _read_message(
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import datetime
 import logging
 
 from acaciamoor import clock as clocks
@@ -14,6 +15,8 @@
 _MAX_UNSENT_BYTES = 4 << 20
 # A Hello message holds a host identifier and a few versions.
 _MAX_HELLO_BYTES = 4096
+# Minimum interval between two heartbeats that pass on confirmations.
+_MIN_HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
 class RelayServer:
@@ -25,6 +28,8 @@
         Address that accepts connections from other hosts.
     replicas_by_kind : Mapping
         Replicas of the relayed collections.
+    peers : PeerList
+        Known hosts; listeners are added.
     clock : Clock
         Source of time.
     """
@@ -33,11 +38,16 @@
         self,
         address: model.Address,
         replicas_by_kind: collections.abc.Mapping[str, replicas.Replica],
+        peers: replicas.PeerList,
         clock: clocks.Clock,
     ) -> None:
         self._address = address
         self._replicas_by_kind = replicas_by_kind
+        self._peers = peers
         self._clock = clock
+        self._heartbeat_at = clock.monotonic()
+        self._heartbeat_timer: asyncio.TimerHandle | None = None
+        self._new_peers: list[replicas.Peer] = []
         self._codec = replicas.MessageCodec()
         self._writers_by_host: dict[str, asyncio.StreamWriter] = {}
         self._server: asyncio.Server | None = None
@@ -61,6 +71,8 @@
 
     def close(self) -> None:
         """Stop listening and disconnect all listeners."""
+        if self._heartbeat_timer is not None:
+            self._heartbeat_timer.cancel()
         if self._server is not None:
             self._server.close()
         for writer in self._writers_by_host.values():
@@ -69,18 +81,50 @@
     def publish(self, kind: str, batch: replicas.Batch) -> None:
         """Send a batch of changes to all listeners."""
         if self._writers_by_host:
-            age = self._replicas_by_kind[kind].age(self._clock.monotonic())
-            self._send_all(replicas.Update.from_batch(kind, batch, age))
+            self._send_all(
+                replicas.Update.from_batch(
+                    self._replicas_by_kind[kind],
+                    batch,
+                    self._clock.monotonic(),
+                )
+            )
+
+    def publish_peers(self, peers: list[replicas.Peer]) -> None:
+        """Send hosts to all listeners, with the next heartbeat."""
+        self._new_peers.extend(peers)
+
+    def pass_on_confirmation(self) -> None:
+        """Send a heartbeat at once, or soon if one was sent just now."""
+        if self._heartbeat_timer is not None or not self._writers_by_host:
+            return
+        delay = max(
+            datetime.timedelta(0), _MIN_HEARTBEAT_INTERVAL - self.idle_time
+        )
+        self._heartbeat_timer = asyncio.get_running_loop().call_later(
+            delay.total_seconds(), self.send_heartbeat
+        )
+
+    @property
+    def idle_time(self) -> datetime.timedelta:
+        """Time since the last heartbeat."""
+        return self._clock.monotonic() - self._heartbeat_at
 
     def send_heartbeat(self) -> None:
         """Send the versions of all replicas, with their ages, to listeners."""
+        now = self._clock.monotonic()
+        self._heartbeat_at = now
+        if self._heartbeat_timer is not None:
+            self._heartbeat_timer.cancel()
+            self._heartbeat_timer = None
+        new_peers, self._new_peers = self._new_peers, []
         if not self._writers_by_host:
             return
-        now = self._clock.monotonic()
+        if new_peers:
+            self._send_all(_encode_peers(new_peers))
         self._send_all(
             replicas.Beat(
                 {
-                    kind: _progress_of(replica, now)
+                    kind: replicas.Progress.of(replica, now)
                     for kind, replica in self._replicas_by_kind.items()
                     if replica.initialized
                 }
@@ -151,29 +195,38 @@
     def _register_listener(
         self, hello: replicas.Hello, writer: asyncio.StreamWriter
     ) -> None:
+        if hello.peer is not None:
+            self.publish_peers(self._peers.add([hello.peer.to_peer()]))
+        for message in self._build_welcome(hello):
+            if not writer.is_closing():
+                writer.write(self._codec.encode(message))
+        previous = self._writers_by_host.pop(hello.host_id, None)
+        if previous is not None:
+            previous.close()
+        self._writers_by_host[hello.host_id] = writer
+
+    def _build_welcome(
+        self, hello: replicas.Hello
+    ) -> collections.abc.Iterator[replicas.Message]:
+        """Yield what a new listener lacks."""
+        yield _encode_peers(self._peers.peers)
         now = self._clock.monotonic()
+        initialized = False
         for kind, replica in self._replicas_by_kind.items():
-            if replica.initialized and not writer.is_closing():
+            if replica.initialized:
+                initialized = True
                 batch = replica.changes_since(
                     hello.versions_by_kind.get(kind, 0)
                 )
-                update = replicas.Update.from_batch(
-                    kind, batch, replica.age(now)
-                )
-                writer.write(self._codec.encode(update))
-        if not any(
-            replica.initialized for replica in self._replicas_by_kind.values()
-        ):
+                yield replicas.Update.from_batch(replica, batch, now)
+        if not initialized:
             # A host that starts then asks the store without waiting.
-            writer.write(self._codec.encode(replicas.Beat({})))
-        previous = self._writers_by_host.pop(hello.host_id, None)
-        if previous is not None:
-            previous.close()
-        self._writers_by_host[hello.host_id] = writer
+            yield replicas.Beat({})
 
 
-def _progress_of(replica: replicas.Replica, now) -> replicas.Progress:
-    age = replica.age(now)
-    return replicas.Progress(
-        replica.version, -1.0 if age is None else age.total_seconds()
+def _encode_peers(
+    peers: collections.abc.Iterable[replicas.Peer],
+) -> replicas.Peers:
+    return replicas.Peers(
+        [replicas.PeerState.from_peer(peer) for peer in peers]
     )
--- a/acaciamoor/forwarder/shell/sources.py
+++ b/acaciamoor/forwarder/shell/sources.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import datetime
+import functools
 import logging
 import random
 
@@ -18,7 +19,13 @@
 
 _LOG = logging.getLogger(__name__)
 ApplyBatch = collections.abc.Callable[
-    [replicas.Replica, replicas.Batch, str], None
+    [
+        replicas.Replica,
+        replicas.Batch,
+        str,
+        collections.abc.Callable[[], bool],
+    ],
+    None,
 ]
 _STORE = 'store'
 _SEED_POLL_INTERVAL = datetime.timedelta(milliseconds=10)
@@ -53,9 +60,8 @@
     store : StoreTransports
         Transports to the store.
     apply : callable
-        Called with the replica, a batch and the name of its source.
-    on_refreshed : callable
-        Called when a refresh has confirmed the replica.
+        Called with the replica, a batch, the name of its source, and what
+        confirms the replica afterwards.
     calls : Counter
         Counts the calls by kind.
     clock : Clock
@@ -69,7 +75,6 @@
         replica: replicas.Replica,
         store: StoreTransports,
         apply: ApplyBatch,
-        on_refreshed: collections.abc.Callable[[], None],
         calls: exposition.Counter,
         clock: clocks.Clock,
         random_source: random.Random,
@@ -77,7 +82,6 @@
         self._replica = replica
         self._store = store
         self._apply = apply
-        self._on_refreshed = on_refreshed
         self._calls = calls
         self._clock = clock
         self._random = random_source
@@ -123,8 +127,10 @@
             replica,
             replicas.Batch(0, listing.version, events, snapshot=True),
             _STORE,
+            functools.partial(
+                replica.confirm_by_store, listing.version, sent_at
+            ),
         )
-        replica.confirm(listing.version, sent_at)
 
     async def _is_confirmed_within(
         self, wait: datetime.timedelta, seeds_failed: asyncio.Event
@@ -197,11 +203,17 @@
                 tuple(events),
                 snapshot=not replica.initialized,
             )
-            self._apply(replica, batch, _STORE)
-            replica.confirm(event.version, self._clock.monotonic())
-            base, events = event.version, []
-            if mode is not replicas.CallMode.REFRESH:
-                self._calls.add(call=mode.value, kind=replica.kind)
+            self._apply(
+                replica,
+                batch,
+                _STORE,
+                functools.partial(
+                    replica.confirm_by_store,
+                    event.version,
+                    self._clock.monotonic(),
+                ),
+            )
             if mode is replicas.CallMode.REFRESH:
-                self._on_refreshed()
                 return
+            base, events = event.version, []
+            self._calls.add(call=mode.value, kind=replica.kind)
--- a/acaciamoor/forwarder/tests/test_adoption.py
+++ b/acaciamoor/forwarder/tests/test_adoption.py
@@ -86,6 +86,15 @@
         lines = self.apply('desk-2', 'desk-3', version=8)
         self.assertEqual(['upstream is active, learned from store'] * 2, lines)
 
+    def test_many_changes_in_a_batch_share_a_line(self):
+        """Guards against 28,000 lines while the upstreams of a site start."""
+        self.apply('desk-1', version=7)
+        names = [f'desk-{number}' for number in range(10, 40)]
+        lines = self.apply(*names, version=8)
+        self.assertEqual(
+            ['30 upstreams are active, learned from store'], lines
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/acaciamoor/replica/__init__.py
+++ b/acaciamoor/replica/__init__.py
@@ -9,12 +9,15 @@
 from acaciamoor.replica.messages import Message
 from acaciamoor.replica.messages import MessageCodec
 from acaciamoor.replica.messages import MessageError
+from acaciamoor.replica.messages import Peers
+from acaciamoor.replica.messages import PeerState
 from acaciamoor.replica.messages import Progress
 from acaciamoor.replica.messages import Update
 from acaciamoor.replica.peers import Peer
 from acaciamoor.replica.peers import PeerList
 from acaciamoor.replica.peers import PeerSettings
 from acaciamoor.replica.replica import Batch
+from acaciamoor.replica.replica import Confirmation
 from acaciamoor.replica.replica import Replica
 
 __all__ = [
@@ -22,6 +25,7 @@
     'Batch',
     'Beat',
     'CallMode',
+    'Confirmation',
     'Hello',
     'Message',
     'MessageCodec',
@@ -29,6 +33,8 @@
     'Peer',
     'PeerList',
     'PeerSettings',
+    'PeerState',
+    'Peers',
     'Progress',
     'Replica',
     'Role',
--- a/acaciamoor/replica/call_modes.py
+++ b/acaciamoor/replica/call_modes.py
@@ -1,9 +1,9 @@
 """Selects how a host calls the store to keep a replica up to date.
 
-The first relay of a data centre watches the store. All other hosts receive
-changes from relays and call the store only when their replica gets too old.
-The second relay does so earlier than the listeners, so that one call serves
-all of them.
+The relay of the site watches the store. All other hosts receive changes from
+other hosts and call the store only when their replica gets too old. The
+standby does so before the hosts that others listen to, and these before the
+listeners, so that one call serves all of them.
 """
 
 import datetime
@@ -13,13 +13,16 @@
 
 
 class Role(enum.Enum):
-    """Role of a host in its data centre."""
+    """Role of a host at its site."""
 
-    # The data centre has too few hosts for relays, or they are not known yet.
+    # The site has too few hosts for relays, or they are not known yet.
     ALONE = 'alone'
+    # Watches the store for all hosts.
     RELAY = 'relay'
-    # Second relay, or a listener that other hosts use as a relay.
+    # Calls the store if the relay does not.
     STANDBY = 'standby'
+    # Passes on what it receives to other hosts of its data centre.
+    BRANCH = 'branch'
     LISTENER = 'listener'
 
 
@@ -42,11 +45,13 @@
     Parameters
     ----------
     standby : datetime.timedelta
-        Limit for the second relay. Exceeds the usual interval between
-        confirmations by the first relay.
+        Limit for the standby. Exceeds the usual interval between
+        confirmations by the relay.
+    branch : datetime.timedelta
+        Limit for hosts that others listen to. Exceeds the interval between
+        confirmations by the standby.
     listener : datetime.timedelta
-        Limit for listeners. Exceeds the interval between confirmations by the
-        second relay, and leaves time for a call before a change is overdue.
+        Limit for listeners. Leaves time for a call before a change is overdue.
     connect_grace : datetime.timedelta
         Time after the initial listing during which a host waits for data from
         its relays, which makes a call of its own unnecessary.
@@ -56,6 +61,7 @@
     """
 
     standby: datetime.timedelta
+    branch: datetime.timedelta
     listener: datetime.timedelta
     connect_grace: datetime.timedelta
     search_period: datetime.timedelta
@@ -83,7 +89,9 @@
     Examples
     --------
     >>> second = datetime.timedelta(seconds=1)
-    >>> limits = AgeLimits(2 * second, 3 * second, second / 2, 3 * second)
+    >>> limits = AgeLimits(
+    ...     2 * second, 2.6 * second, 3 * second, second / 2, 3 * second
+    ... )
     >>> select_call_mode(Role.LISTENER, 2.5 * second, 60 * second, limits)
     <CallMode.NONE: 'none'>
     >>> select_call_mode(Role.STANDBY, 2.5 * second, 60 * second, limits)
@@ -97,6 +105,8 @@
         too_old = time_since_listing >= limits.connect_grace
     elif role is Role.STANDBY:
         too_old = age > limits.standby
+    elif role is Role.BRANCH:
+        too_old = age > limits.branch
     else:
         too_old = age > limits.listener
     return CallMode.REFRESH if too_old else CallMode.NONE
--- a/acaciamoor/replica/messages.py
+++ b/acaciamoor/replica/messages.py
@@ -6,37 +6,126 @@
 """
 
 import datetime
+import math
 import struct
 import typing
+import zlib
 
 import msgspec
 
+from acaciamoor import model
 from acaciamoor import platform
+from acaciamoor.replica import peers as peer_lists
 from acaciamoor.replica import replica as replicas
 
 _LENGTH = struct.Struct('!I')
 # Many times the present size of a whole collection.
 MAX_MESSAGE_BYTES = 16 << 20
+# Messages above this size are compressed, to about an eighth. Hosts that start
+# together each get whole collections, also over narrow links.
+_MIN_COMPRESSED_BYTES = 4096
+_COMPRESSION_LEVEL = 1
 _SECOND = datetime.timedelta(seconds=1)
+# Terabit links do not exist yet; a wider one is an error.
+_MAX_LINK_MBPS = 1e6
+# Ages above a year are errors.
+_MAX_AGE_S = 366 * 86400
 
 
 class MessageError(ValueError):
     """Raised for a message that is malformed or unexpected."""
 
 
+class PeerState(msgspec.Struct, frozen=True, array_like=True):
+    """A known host; see `Peer`."""
+
+    host_id: str
+    data_centre: str
+    ip: str
+    port: int
+    link_mbps: float
+
+    @classmethod
+    def from_peer(cls, peer: peer_lists.Peer) -> 'PeerState':
+        """Return the state that carries a host."""
+        return cls(
+            peer.host_id,
+            peer.data_centre,
+            peer.address.ip,
+            peer.address.port,
+            peer.link_mbps,
+        )
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.link_mbps <= _MAX_LINK_MBPS:
+            raise ValueError(f'bandwidth {self.link_mbps} is out of range')
+
+    def to_peer(self) -> peer_lists.Peer:
+        """Return the host."""
+        return peer_lists.Peer(
+            model.HostId(self.host_id),
+            model.DataCentre(self.data_centre),
+            model.Address(self.ip, self.port),
+            self.link_mbps,
+        )
+
+
 class Hello(msgspec.Struct, tag=True, frozen=True):
-    """First message of a listener, with the versions that it has."""
+    """First message of a listener: who it is, and the versions it has."""
 
     host_id: str
     versions_by_kind: dict[str, int]
+    # None from hosts of a version that did not send it.
+    peer: PeerState | None = None
+
+
+class Peers(msgspec.Struct, tag=True, frozen=True):
+    """Hosts that a relay knows, or that it has come to know."""
+
+    peers: list[PeerState]
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
-    """Version of a replica and the time since it was confirmed."""
+    """Version of a replica and the last confirmation of it."""
 
     version: int
     # In seconds; negative if the version was never confirmed.
     age: float
+    # See `Confirmation`; empty from hosts of a version that did not send it.
+    origin: str = ''
+    serial: int = 0
+
+    def __post_init__(self) -> None:
+        if not -math.inf < self.age < _MAX_AGE_S:
+            raise ValueError(f'age of {self.age} s is out of range')
+
+    @classmethod
+    def of(
+        cls, replica: replicas.Replica, now: datetime.timedelta
+    ) -> 'Progress':
+        """Return the progress of a replica."""
+        confirmation = replica.confirmation
+        if confirmation is None:
+            return cls(replica.version, -1.0)
+        return cls(
+            replica.version,
+            (now - confirmation.at) / _SECOND,
+            confirmation.origin,
+            confirmation.serial,
+        )
+
+    def confirm(
+        self, replica: replicas.Replica, now: datetime.timedelta
+    ) -> bool:
+        """Apply the confirmation to a replica; False if it had no effect."""
+        if self.age < 0:
+            return False
+        return replica.confirm(
+            self.version,
+            replicas.Confirmation(
+                now - self.age * _SECOND, self.origin, self.serial
+            ),
+        )
 
 
 class Beat(msgspec.Struct, tag=True, frozen=True):
@@ -59,20 +148,23 @@
     kind: str
     base: int
     version: int
-    age: float
+    progress: Progress
     whole: bool
     states: list[ObjectState]
 
     @classmethod
     def from_batch(
-        cls, kind: str, batch: replicas.Batch, age: datetime.timedelta | None
+        cls,
+        replica: replicas.Replica,
+        batch: replicas.Batch,
+        now: datetime.timedelta,
     ) -> 'Update':
-        """Return the message that carries a batch."""
+        """Return the message that carries a batch of a replica."""
         return cls(
-            kind,
+            replica.kind,
             batch.base_version,
             batch.version,
-            -1.0 if age is None else age / _SECOND,
+            Progress.of(replica, now),
             batch.snapshot,
             [
                 _encode_event(event)
@@ -91,7 +183,13 @@
         )
 
 
-Message = Hello | Beat | Update
+class Compressed(msgspec.Struct, tag=True, frozen=True):
+    """Another message, compressed."""
+
+    body: bytes
+
+
+Message = Hello | Beat | Peers | Update
 
 
 class MessageCodec:
@@ -100,20 +198,23 @@
     Examples
     --------
     >>> codec = MessageCodec()
-    >>> frame = codec.encode(Hello('h-1', {'config': 4}))
-    >>> codec.decode(frame[codec.header_bytes:])
-    Hello(host_id='h-1', versions_by_kind={'config': 4})
+    >>> frame = codec.encode(Beat({'config': Progress(4, 0.2)}))
+    >>> codec.decode(frame[codec.header_bytes:]).progress_by_kind['config']
+    Progress(version=4, age=0.2, origin='', serial=0)
     """
 
     header_bytes = _LENGTH.size
 
     def __init__(self) -> None:
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Message)
+        self._decoder = msgspec.msgpack.Decoder(Message | Compressed)
 
     def encode(self, message: Message) -> bytes:
         """Return an encoded message, prefixed with its length."""
         body = self._encoder.encode(message)
+        if len(body) >= _MIN_COMPRESSED_BYTES:
+            compressed = zlib.compress(body, _COMPRESSION_LEVEL)
+            body = self._encoder.encode(Compressed(compressed))
         return _LENGTH.pack(len(body)) + body
 
     def decode_length(self, header: bytes) -> int:
@@ -140,25 +241,22 @@
             If `body` is not a valid message.
         """
         try:
-            return self._decoder.decode(body)
-        except (msgspec.MsgspecError, RecursionError) as error:
+            message = self._decoder.decode(body)
+            if isinstance(message, Compressed):
+                message = self._decoder.decode(_decompress(message.body))
+        except (msgspec.MsgspecError, RecursionError, zlib.error) as error:
             raise MessageError(str(error)) from error
+        if isinstance(message, Compressed):
+            raise MessageError('message is compressed twice')
+        return message
 
 
-def decode_age(seconds: float) -> datetime.timedelta | None:
-    """Return the age that a message holds; None if it is unknown.
-
-    Raises
-    ------
-    MessageError
-        If `seconds` is not a number or too large.
-    """
-    if seconds < 0:
-        return None
-    try:
-        return seconds * _SECOND
-    except (ValueError, OverflowError) as error:
-        raise MessageError(f'age of {seconds} s is out of range') from error
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    body = decompressor.decompress(data, MAX_MESSAGE_BYTES)
+    if not decompressor.eof:
+        raise MessageError('compressed message is too long or incomplete')
+    return body
 
 
 def _encode_event(event: platform.WatchEvent) -> ObjectState:
--- a/acaciamoor/replica/peers.py
+++ b/acaciamoor/replica/peers.py
@@ -1,10 +1,14 @@
-"""Selection of the hosts that relay the store to their data centre.
+"""Selection of the hosts that relay the store to the other hosts of a site.
 
-All hosts of a data centre rank each other in the same order and listen to the
-first two. The first one watches the store for all, so that the number of
-calls grows with the number of data centres, not of hosts. There is no
-election: a host that loses its relays uses the next ones or calls the store
-itself, and several hosts may safely act as relays at the same time.
+The hosts form a tree. One host, the relay of the site, watches the store; a
+standby in another data centre calls it if the relay fails. Two hosts of each
+data centre listen to these, and the other hosts to hosts of their own data
+centre. In a large data centre a few more hosts stand between, so that the
+listeners of each host stay few.
+
+All hosts rank each other in the same order. There is no election: a host that
+loses its relays uses the next ones or calls the store itself, and several
+hosts may safely act as relays at the same time.
 """
 
 import collections.abc
@@ -20,6 +24,10 @@
 
 # Links of this width or more register without delay.
 _WIDEST_LINK_MBPS = 1000.0
+# Time in which hosts that start together learn of each other.
+_MIN_SEARCH_PERIOD = datetime.timedelta(milliseconds=500)
+# Maximum number of known hosts, many times the size of a site's data centres.
+_MAX_PEERS = 16384
 
 
 class Peer(msgspec.Struct, frozen=True):
@@ -53,9 +61,12 @@
         Number of relays that each host listens to. With two, the second one
         notices if the first one is cut off from the store.
     min_hosts : int
-        Number of hosts in a data centre from which on relays are used. A
-        relay polls the store once a second, a direct watch calls only at
-        changes; with fewer than six hosts, relays save no calls.
+        Number of hosts of a site from which on relays are used. A relay polls
+        the store once a second, a direct watch calls only at changes; with
+        fewer than six hosts, relays save no calls.
+    hosts_per_branch : int
+        Number of hosts of a data centre for each one that passes changes on
+        to others, if the data centre has more than twice as many hosts.
     unreachable_period : datetime.timedelta
         Time for which a host that could not be reached is skipped; it doubles
         with each further failure.
@@ -63,22 +74,23 @@
         Maximum of that time. Entries of hosts that are gone for good stay in
         the list.
     max_registered : int
-        Number of better relays in the list from which on a host does not
-        register itself. Each entry costs a write at every start.
+        Number of better relays in its data centre from which on a host does
+        not register itself. Each entry costs a write at the first start.
     max_registration_delay : datetime.timedelta
         Delay of the registration of a host with the narrowest link.
     """
 
     relay_count: int = 2
     min_hosts: int = 6
+    hosts_per_branch: int = 16
     unreachable_period: datetime.timedelta = datetime.timedelta(seconds=4)
     max_unreachable_period: datetime.timedelta = datetime.timedelta(minutes=1)
-    max_registered: int = 6
+    max_registered: int = 4
     max_registration_delay: datetime.timedelta = datetime.timedelta(seconds=2)
 
 
 class PeerList:
-    """Hosts of the local data centre, ranked by preference as relays.
+    """Known hosts of the site, ranked by preference as relays.
 
     Parameters
     ----------
@@ -93,8 +105,7 @@
     ...     address = model.Address('127.0.0.1', 7000 + number)
     ...     return Peer(f'h-{number}', 'kgn-a', address, link)
     >>> peers = PeerList(peer(1))
-    >>> peers.replace(peer(number) for number in range(2, 7))
-    >>> peers.replace([*map(peer, range(2, 7)), peer(9, 200.0)])
+    >>> added = peers.add([*map(peer, range(2, 7)), peer(9, 200.0)])
     >>> peers.relays(datetime.timedelta(0))[0].host_id
     'h-9'
     """
@@ -104,21 +115,56 @@
     ) -> None:
         self._own = own
         self._settings = settings or PeerSettings()
-        self._ranked: tuple[Peer, ...] = (own,)
+        self._peers_by_id = {own.host_id: own}
+        self._ranked_by_data_centre: dict[
+            model.DataCentre, tuple[Peer, ...]
+        ] = {own.data_centre: (own,)}
         self._unreachable_until_by_id: dict[
             model.HostId, datetime.timedelta
         ] = {}
         self._failures_by_id: dict[model.HostId, int] = {}
 
-    def replace(self, peers: collections.abc.Iterable[Peer]) -> None:
-        """Replace the list of hosts."""
-        peers_by_id = {
-            peer.host_id: peer
+    def __len__(self) -> int:
+        return len(self._peers_by_id)
+
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """All known hosts, this one included."""
+        return tuple(self._peers_by_id.values())
+
+    def add(
+        self, peers: collections.abc.Iterable[Peer], replace: bool = True
+    ) -> list[Peer]:
+        """Add hosts; return those that were not known, or not so.
+
+        Parameters
+        ----------
+        peers : iterable of Peer
+            The hosts.
+        replace : bool
+            Whether to replace known hosts of the same identifier. What a third
+            host says of them may be out of date, and two hosts that replace
+            each other's statements would do so for ever.
+        """
+        changed = [
+            peer
             for peer in peers
-            if peer.data_centre == self._own.data_centre
-        }
-        peers_by_id[self._own.host_id] = self._own
-        self._ranked = tuple(sorted(peers_by_id.values(), key=_relay_order))
+            if peer.host_id != self._own.host_id
+            and self._peers_by_id.get(peer.host_id) != peer
+            and (replace or peer.host_id not in self._peers_by_id)
+        ][: _MAX_PEERS - len(self._peers_by_id)]
+        for peer in changed:
+            self._peers_by_id[peer.host_id] = peer
+        if changed:
+            self._rank()
+        return changed
+
+    def find(self, address: model.Address) -> Peer | None:
+        """Return the host with an address; None if it is not known."""
+        for peer in self._peers_by_id.values():
+            if peer.address == address:
+                return peer
+        return None
 
     def mark_unreachable(
         self, host_id: model.HostId, now: datetime.timedelta
@@ -151,36 +197,129 @@
     @property
     def search_period(self) -> datetime.timedelta:
         """Time after its start in which this host expects to find relays."""
-        return 2 * self.registration_delay
+        return 2 * self.registration_delay + _MIN_SEARCH_PERIOD
 
     def needs_registration(self, now: datetime.timedelta) -> bool:
         """Return whether too few hosts that rank before this one are up."""
         better = itertools.takewhile(
-            lambda peer: peer != self._own, self._ranked
+            lambda peer: peer != self._own, self._local
         )
         reachable = [peer for peer in better if self._is_reachable(peer, now)]
         return len(reachable) < self._settings.max_registered
 
     def relays(self, now: datetime.timedelta) -> tuple[Peer, ...]:
-        """Return the relays that this host should listen to.
+        """Return the hosts that this host should listen to.
 
-        This host itself may be among them. The result is empty if the data
-        centre has too few hosts for relays.
+        The result is empty if the site has too few hosts for relays.
         """
-        if len(self._ranked) < self._settings.min_hosts:
+        if len(self._peers_by_id) < self._settings.min_hosts:
             return ()
-        return self._first_reachable(self._ranked, now)
+        own = self._own
+        local = self._local_relays(now)
+        if own not in local:
+            return self._select_branches(local, now)
+        sources = list(self._site_relays(now))
+        if own not in (local[0], *sources) and local[0] not in sources:
+            # The second host of a data centre listens to the first one, so
+            # that changes cross between data centres less often.
+            sources[0] = local[0]
+        return tuple(dict.fromkeys(peer for peer in sources if peer != own))
 
     def has_lost_relays(self, now: datetime.timedelta) -> bool:
-        """Return whether relays are listed, but none can be reached."""
-        listed = len(self._ranked) >= self._settings.min_hosts
-        return listed and not self.fallback_peers(now)
+        """Return whether relays are known, but none can be reached."""
+        enough = len(self._peers_by_id) >= self._settings.min_hosts
+        return enough and not self.fallback_peers(now)
 
     def fallback_peers(self, now: datetime.timedelta) -> tuple[Peer, ...]:
-        """Return hosts to fetch data from while the store is unreachable."""
-        others = [peer for peer in self._ranked if peer != self._own]
+        """Return hosts to fetch data from while this host has none."""
+        local = set(self._local)
+        others = [peer for peer in self._local if peer != self._own]
+        others += sorted(
+            (peer for peer in self.peers if peer not in local),
+            key=_relay_order,
+        )
         return self._first_reachable(others, now)
 
+    def role(self, now: datetime.timedelta) -> call_modes.Role:
+        """Return the role of this host at its site."""
+        if len(self._peers_by_id) < self._settings.min_hosts:
+            return call_modes.Role.ALONE
+        site_relays = self._site_relays(now)
+        if site_relays[0] == self._own:
+            return call_modes.Role.RELAY
+        if self._own in site_relays:
+            return call_modes.Role.STANDBY
+        if self._own in self._local_relays(now) or self._own in (
+            self._branches(now)
+        ):
+            return call_modes.Role.BRANCH
+        return call_modes.Role.LISTENER
+
+    @property
+    def _local(self) -> tuple[Peer, ...]:
+        return self._ranked_by_data_centre[self._own.data_centre]
+
+    def _rank(self) -> None:
+        groups: dict[model.DataCentre, list[Peer]] = {}
+        for peer in self._peers_by_id.values():
+            groups.setdefault(peer.data_centre, []).append(peer)
+        self._ranked_by_data_centre = {
+            data_centre: tuple(sorted(group, key=_relay_order))
+            for data_centre, group in groups.items()
+        }
+
+    def _local_relays(self, now: datetime.timedelta) -> tuple[Peer, ...]:
+        return self._first_reachable(self._local, now)
+
+    def _site_relays(self, now: datetime.timedelta) -> tuple[Peer, ...]:
+        """Return the relay of the site and its standby.
+
+        The standby is in another data centre, if there is one that can be
+        reached, so that a cut does not separate both from a data centre.
+        """
+        candidates = sorted(
+            (
+                peer
+                for ranked in self._ranked_by_data_centre.values()
+                for peer in self._first_reachable(ranked, now)
+            ),
+            key=_relay_order,
+        )
+        first = candidates[0]
+        elsewhere = [
+            peer
+            for peer in candidates
+            if peer.data_centre != first.data_centre
+        ]
+        return tuple(dict.fromkeys([first, *elsewhere, *candidates]))[
+            : self._settings.relay_count
+        ]
+
+    def _branches(self, now: datetime.timedelta) -> tuple[Peer, ...]:
+        """Return the hosts between the local relays and the listeners."""
+        count = math.ceil(len(self._local) / self._settings.hosts_per_branch)
+        if count <= self._settings.relay_count:
+            return ()
+        reachable = (
+            peer for peer in self._local if self._is_reachable(peer, now)
+        )
+        skipped = self._settings.relay_count
+        return tuple(itertools.islice(reachable, skipped, skipped + count))
+
+    def _select_branches(
+        self, local: tuple[Peer, ...], now: datetime.timedelta
+    ) -> tuple[Peer, ...]:
+        branches = self._branches(now)
+        if not branches or self._own in branches:
+            return local
+        chosen = sorted(
+            branches,
+            key=lambda peer: hashing.hash64(
+                f'{self._own.host_id}/{peer.host_id}'
+            ),
+        )
+        return tuple(chosen[: self._settings.relay_count])
+
     def _first_reachable(
         self, peers: collections.abc.Iterable[Peer], now: datetime.timedelta
     ) -> tuple[Peer, ...]:
@@ -191,17 +330,6 @@
         until = self._unreachable_until_by_id.get(peer.host_id)
         return until is None or until <= now
 
-    def role(self, now: datetime.timedelta) -> call_modes.Role:
-        """Return the role of this host in its data centre."""
-        relays = self.relays(now)
-        if not relays:
-            return call_modes.Role.ALONE
-        if relays[0] == self._own:
-            return call_modes.Role.RELAY
-        if self._own in relays:
-            return call_modes.Role.STANDBY
-        return call_modes.Role.LISTENER
-
 
 def _relay_order(peer: Peer) -> tuple[float, int]:
     return -peer.link_mbps, hashing.hash64(peer.host_id)
--- a/acaciamoor/replica/replica.py
+++ b/acaciamoor/replica/replica.py
@@ -11,6 +11,8 @@
 # Events that are kept for hosts that have fallen behind. A host that lacks
 # older events gets a snapshot.
 _MAX_HISTORY_EVENTS = 2048
+# Hosts whose last confirmation is remembered; few call the store at a time.
+_MAX_ORIGINS = 256
 
 
 class Batch(msgspec.Struct, frozen=True):
@@ -35,6 +37,25 @@
     snapshot: bool = False
 
 
+class Confirmation(msgspec.Struct, frozen=True):
+    """Statement of the store that a version was current at some time.
+
+    Parameters
+    ----------
+    at : datetime.timedelta
+        The time, by the clock of this host.
+    origin : str
+        Replica that received the statement from the store itself; empty if
+        that is not known.
+    serial : int
+        Number of the statement among those of `origin`.
+    """
+
+    at: datetime.timedelta
+    origin: str = ''
+    serial: int = 0
+
+
 class Replica:
     """Objects of one collection, at a version that never decreases.
 
@@ -42,10 +63,17 @@
     batch that leaves a gap or leads to an older version is ignored, so that a
     lagging host cannot revert another one.
 
+    A confirmation that travels through several hosts looks younger with each
+    of them, by the time on the way. Each one is therefore accepted once: two
+    hosts that listen to each other would otherwise confirm each other for
+    ever if messages between them took long.
+
     Parameters
     ----------
     kind : str
         Kind of the objects in the collection.
+    origin : str
+        Name of this replica in confirmations, unique for each process.
 
     Examples
     --------
@@ -61,11 +89,16 @@
     7
     """
 
-    def __init__(self, kind: str) -> None:
+    def __init__(self, kind: str, origin: str = '') -> None:
         self.kind = kind
         self.version = 0
         self.initialized = False
-        self._confirmed_at: datetime.timedelta | None = None
+        self.confirmation: Confirmation | None = None
+        self._origin = origin
+        self._serial = 0
+        self._serials_by_origin: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._objects_by_name: dict[str, platform.StoredObject] = {}
         self._history: collections.deque[Batch] = collections.deque()
         self._history_events = 0
@@ -77,24 +110,45 @@
 
     def age(self, now: datetime.timedelta) -> datetime.timedelta | None:
         """Return the time since the last confirmation; None without one."""
-        if self._confirmed_at is None:
+        if self.confirmation is None:
             return None
-        return now - self._confirmed_at
+        return now - self.confirmation.at
 
-    def confirm(self, version: int, at: datetime.timedelta) -> bool:
-        """Record that `version` was current at the time `at`.
+    def confirm_by_store(self, version: int, at: datetime.timedelta) -> bool:
+        """Record that the store had `version` at the time `at`.
 
         Returns False, without effect, if the replica is at another version.
         """
+        self._serial += 1
+        return self.confirm(
+            version, Confirmation(at, self._origin, self._serial)
+        )
+
+    def confirm(self, version: int, confirmation: Confirmation) -> bool:
+        """Record a confirmation of `version`.
+
+        Returns False, without effect, if the replica is at another version,
+        or if the confirmation is known or older than the last one.
+        """
         if not self.initialized or version != self.version:
             return False
-        if self._confirmed_at is None or at > self._confirmed_at:
-            self._confirmed_at = at
+        origin, serial = confirmation.origin, confirmation.serial
+        if origin:
+            if serial <= self._serials_by_origin.get(origin, 0):
+                return False
+            self._serials_by_origin[origin] = serial
+            self._serials_by_origin.move_to_end(origin)
+            if len(self._serials_by_origin) > _MAX_ORIGINS:
+                self._serials_by_origin.popitem(last=False)
+        last = self.confirmation
+        if last is not None and confirmation.at <= last.at:
+            return False
+        self.confirmation = confirmation
         return True
 
     def apply(self, batch: Batch) -> list[platform.WatchEvent]:
         """Apply a batch and return the events that had an effect."""
-        if batch.version < self.version:
+        if self.initialized and batch.version <= self.version:
             return []
         if not batch.snapshot and (
             not self.initialized or batch.base_version > self.version
@@ -108,15 +162,18 @@
         ]
         self.version = batch.version
         self.initialized = True
-        self._append_history(Batch(base, batch.version, tuple(accepted)))
+        self._append_history(batch, base)
         return accepted
 
     def changes_since(self, version: int) -> Batch:
         """Return the changes that a host at `version` lacks.
 
         The batch is a snapshot if the history does not reach back to
-        `version`, or if `version` is 0: the host has no data yet.
+        `version`, or if `version` is 0: the host has no data yet. It has no
+        effect on a host at a newer version.
         """
+        if version >= self.version:
+            return Batch(self.version, self.version)
         if (
             version
             and self._history
@@ -176,11 +233,18 @@
         self._objects_by_name[stored.name] = stored
         return True
 
-    def _append_history(self, batch: Batch) -> None:
-        if batch.version == batch.base_version:
+    def _append_history(self, batch: Batch, base: int) -> None:
+        if batch.snapshot:
+            # It does not tell which objects were deleted since a version that
+            # another host may have.
+            self._history.clear()
+            self._history_events = 0
             return
-        self._history.append(batch)
-        self._history_events += len(batch.events)
+        # Deletions of objects that this replica never had are kept: a host at
+        # a version between `base` and that of the batch may have them.
+        events = tuple(event for event in batch.events if event.version > base)
+        self._history.append(Batch(base, batch.version, events))
+        self._history_events += len(events)
         while (
             self._history_events > _MAX_HISTORY_EVENTS
             and len(self._history) > 1
--- a/acaciamoor/telemetry/logs.py
+++ b/acaciamoor/telemetry/logs.py
@@ -15,6 +15,7 @@
     'service',
     'flow',
     'upstream',
+    'upstreams',
     'version',
     'reason',
     'attempt',
