--- a/acaciamoor/openings/placer.py
+++ b/acaciamoor/openings/placer.py
@@ -40,7 +40,7 @@
     remote_cost: float = 0.5
     remote_upload_cost: float = 4.0
     warm_up_capacity_factor: float = 0.6
-    tie_noise: float = 0.3
+    tie_noise: float = 0.1
     spill_over_load: float = 0.6
     upload_spill_over_load: float = 0.8
 
