Tell refused callers when to return, in the order in which they came

Cause: a refusal said nothing of when a request could succeed, so callers came back after delays of their own, most of them too early, and were overtaken by later ones. placement/returns.py promises each refused caller a moment at the rate at which slots become free; four fifths of the starts are promised, the rest is left to callers that come for the first time, and nothing is promised close to a caller's deadline.

--- a/acaciamoor/balancer/core/placer_effects.py
+++ b/acaciamoor/balancer/core/placer_effects.py
@@ -1,5 +1,6 @@
 """Translates effects of a placer into effects of the balancer."""
 
+import datetime
 import functools
 import typing
 
@@ -26,6 +27,7 @@
         request_part: placement.RequestPart,
         outcome: wire.Outcome,
         reason: str,
+        retry_after: datetime.timedelta = datetime.timedelta(0),
     ) -> Effects:
         """Refuse a request with the outcome that is known."""
 
@@ -105,7 +107,10 @@
 ) -> Effects:
     if effect.outcome is not wire.Outcome.COMPLETE:
         return builder.refuse(
-            effect.request_part, effect.outcome, effect.reason
+            effect.request_part,
+            effect.outcome,
+            effect.reason,
+            effect.retry_after,
         )
     return builder.answer(effect.request_part, effect.payload)
 
--- a/acaciamoor/balancer/core/request_effects.py
+++ b/acaciamoor/balancer/core/request_effects.py
@@ -1,6 +1,7 @@
 """Effects of requests: replies to callers and forwards to balancers."""
 
 import collections.abc
+import datetime
 
 from acaciamoor.balancer.core import counters as counts
 from acaciamoor.balancer.core import effects
@@ -75,10 +76,13 @@
         request_part: placement.RequestPart,
         outcome: wire.Outcome,
         reason: str,
+        retry_after: datetime.timedelta = datetime.timedelta(0),
     ) -> Effects:
         """Refuse a request with the outcome that is known."""
         self._counters.add(counts.Metric.REFUSALS, str(reason))
-        data = requests.refusal(request_part, outcome, str(reason))
+        data = requests.refusal(
+            request_part, outcome, str(reason), retry_after
+        )
         request_ended = effects.RequestEnded(
             self._name_of(request_part.caller.service_id),
             _REQUEST_OUTCOMES_BY_WIRE_OUTCOME[outcome],
--- a/acaciamoor/balancer/core/requests.py
+++ b/acaciamoor/balancer/core/requests.py
@@ -104,7 +104,10 @@
 
 
 def refusal(
-    request_part: placement.RequestPart, outcome: wire.Outcome, reason: str
+    request_part: placement.RequestPart,
+    outcome: wire.Outcome,
+    reason: str,
+    retry_after: datetime.timedelta = datetime.timedelta(0),
 ) -> bytes:
     """Return the encoded refusal that reports `outcome` to a caller."""
     return wire.encode(
@@ -117,6 +120,7 @@
             idempotent=request_part.idempotent,
             outcome=outcome,
             reason=reason,
+            retry_after=retry_after,
         )
     )
 
--- a/acaciamoor/forwarder/shell/limits.py
+++ b/acaciamoor/forwarder/shell/limits.py
@@ -37,7 +37,7 @@
 FIRST_HOST_LIST_DELAY = datetime.timedelta(milliseconds=300)
 # Time that a starting host waits for data from its seeds before it lists the
 # collections itself. A connection and a snapshot take a few milliseconds.
-SEED_GRACE = datetime.timedelta(milliseconds=50)
+SEED_GRACE = datetime.timedelta(milliseconds=25)
 # Time for which a host asks a single relay for whole collections.
 SINGLE_SOURCE_PERIOD = datetime.timedelta(milliseconds=400)
 # Time after which a host without data goes on to the next seed.
--- a/acaciamoor/load/scenarios/placement.py
+++ b/acaciamoor/load/scenarios/placement.py
@@ -12,6 +12,7 @@
 from acaciamoor.load.scenarios import placement_load as loads
 from acaciamoor.load.scenarios import placement_measurements
 from acaciamoor.load.scenarios import placement_naive as naive_hosts
+from acaciamoor.load.scenarios import placement_returns
 from acaciamoor.load.scenarios import placement_settings as world_settings
 from acaciamoor.load.scenarios import placement_world as worlds
 from acaciamoor.load.scenarios import registry as registries
@@ -336,6 +337,7 @@
         ('placement-uneven-views', placement_changes.run_uneven_views),
         ('placement-drain', placement_changes.run_drain),
         ('placement-capacity', placement_capacity.run_capacity),
+        (placement_returns.NAME, placement_returns.run),
     )
     for name, run in runs:
         summary = run.__doc__.partition('\n')[0]
--- a/acaciamoor/placement/admission.py
+++ b/acaciamoor/placement/admission.py
@@ -64,8 +64,24 @@
         request: active_request.ActiveRequest,
         policy: model.Policy,
         now: datetime.timedelta,
+        promised: int = 0,
+        returning: bool = False,
     ) -> request_parts.Reason | None:
-        """Return why a new request is refused; None if it may be queued."""
+        """Return why a new request is refused; None if it may be queued.
+
+        Parameters
+        ----------
+        request : ActiveRequest
+            The request.
+        policy : Policy
+            Limits of the service.
+        now : datetime.timedelta
+            Current time.
+        promised : int
+            Requests of returning callers that are expected now.
+        returning : bool
+            Whether the caller was refused before and told to return now.
+        """
         if self._is_full(request.lane, policy):
             return request_parts.Reason.QUEUE_FULL
         slots = self._pool.total_slots
@@ -73,16 +89,19 @@
             return request_parts.Reason.NO_UPSTREAM
         time_left = request.first_part.deadline - now
         queue_wait = datetime.timedelta(
-            seconds=self._queue_wait_seconds(request, policy, slots, now)
+            seconds=self._queue_wait_seconds(
+                request, policy, slots, now, promised
+            )
         )
         wait = (
             max(request.not_before, self._earliest_bind(now))
             - now
             + queue_wait
         )
-        if request.lane is _Lane.SHORT and queue_wait > self._max_short_wait(
-            now
-        ):
+        max_short_wait = self._max_short_wait(now)
+        if returning:
+            max_short_wait += MAX_SHORT_WAIT
+        if request.lane is _Lane.SHORT and queue_wait > max_short_wait:
             return request_parts.Reason.QUEUE_FULL
         if wait > time_left * MAX_WAIT_SHARE or self.would_miss_deadline(
             request, now + wait
@@ -90,6 +109,27 @@
             return request_parts.Reason.DEADLINE
         return None
 
+    def drain_times(
+        self,
+        request: active_request.ActiveRequest,
+        policy: model.Policy,
+        now: datetime.timedelta,
+    ) -> tuple[datetime.timedelta, datetime.timedelta]:
+        """Return the wait for a slot, and the mean time between two starts.
+
+        Both are zero while no upstream takes work.
+        """
+        slots = self._pool.total_slots
+        if not slots:
+            return _ZERO, _ZERO
+        wait = self._queue_wait_seconds(request, policy, slots, now)
+        interval = self._start_interval_seconds(request.lane, policy, slots)
+        earliest = self._earliest_bind(now) - now
+        return (
+            earliest + datetime.timedelta(seconds=wait),
+            datetime.timedelta(seconds=interval),
+        )
+
     def would_miss_deadline(
         self, request: active_request.ActiveRequest, start: datetime.timedelta
     ) -> bool:
@@ -150,24 +190,33 @@
         policy: model.Policy,
         slots: int,
         now: datetime.timedelta,
+        promised: int = 0,
     ) -> float:
         ahead = self._queue.count(request.lane)
-        if request.lane is _Lane.LONG:
-            # While short requests wait, long ones get a single slot.
-            short_waits = self._queue.count(_Lane.SHORT) > 0
-            servers = 1 if short_waits else self._max_long_slots(policy, slots)
-        else:
-            servers = max(1, slots - self._long_requests.declared)
         if not ahead and self._pool.has_free_slot(now):
+            # Callers who were told to return now need not do so.
             wait = 0.0
         else:
-            wait = (
-                (ahead + 1)
-                * self._service_times.mean_seconds(request.lane)
-                / servers
+            wait = (ahead + promised + 1) * self._start_interval_seconds(
+                request.lane, policy, slots
             )
         return max(wait, self._pinned_wait_seconds(request))
 
+    def _start_interval_seconds(
+        self,
+        lane: active_request.Lane,
+        policy: model.Policy,
+        slots: int,
+    ) -> float:
+        """Return the mean time between two starts of queued requests."""
+        if lane is _Lane.LONG:
+            # While short requests wait, long ones get a single slot.
+            short_waits = self._queue.count(_Lane.SHORT) > 0
+            servers = 1 if short_waits else self._max_long_slots(policy, slots)
+        else:
+            servers = max(1, slots - self._long_requests.declared)
+        return self._service_times.mean_seconds(lane) / servers
+
     def _pinned_wait_seconds(
         self, request: active_request.ActiveRequest
     ) -> float:
--- a/acaciamoor/placement/dispatch.py
+++ b/acaciamoor/placement/dispatch.py
@@ -2,6 +2,7 @@
 
 import datetime
 import heapq
+import random
 
 from acaciamoor import clock as clocks
 from acaciamoor import model
@@ -14,6 +15,7 @@
 from acaciamoor.placement import pool as pools
 from acaciamoor.placement import queue as queues
 from acaciamoor.placement import request_table
+from acaciamoor.placement import returns
 from acaciamoor.requests import ledger as ledgers
 from acaciamoor.requests import request_part as request_parts
 
@@ -35,6 +37,8 @@
         Limits of the service.
     ledger : ledgers.RequestLedger
         Records of all requests.
+    rng : random.Random
+        Source of the jitter of returns.
     """
 
     def __init__(
@@ -42,6 +46,7 @@
         clock: clocks.Clock,
         policy: model.Policy,
         ledger: ledgers.RequestLedger,
+        rng: random.Random,
     ) -> None:
         self.policy = policy
         self.ledger = ledger
@@ -51,6 +56,7 @@
         self.service_times = estimates.ServiceTimes()
         self.affinity = affinity.FlowAffinity()
         self.requests = request_table.RequestTable(clock, ledger, self.lease)
+        self.returns = returns.ReturnSchedule(rng)
         self.bound = 0
         self._clock = clock
         self._long_requests = estimates.LongRequestCounter()
@@ -71,12 +77,33 @@
         pinned_id = self.affinity.lookup(request.first_part.flow, now)
         if pinned_id is not None and self.pool.takes_new_work(pinned_id):
             request.pinned_id = pinned_id
-        reason = self._admission.refusal_reason(request, self.policy, now)
+        returning = self.returns.take(request.first_part.flow, now)
+        promised = 0 if returning else self.returns.count_due(now)
+        reason = self._admission.refusal_reason(
+            request, self.policy, now, promised, returning
+        )
         if reason is not None:
-            return [self.requests.refuse(request, reason)]
+            return [self.refuse(request, reason)]
         self.queue.push(request, now)
         return self.bind_ready()
 
+    def refuse(
+        self,
+        request: active_request.ActiveRequest,
+        reason: request_parts.Reason,
+    ) -> messages.Reply:
+        """End a request that has not run; tell its caller when to return."""
+        now = self._clock.monotonic()
+        wait, interval = self._admission.drain_times(request, self.policy, now)
+        retry_after = self.returns.reserve(
+            request.first_part.flow,
+            now,
+            request.first_part.deadline,
+            wait,
+            interval,
+        )
+        return self.requests.refuse(request, reason, retry_after)
+
     def bind_ready(self) -> Effects:
         """Bind queued requests while there are free slots."""
         now = self._clock.monotonic()
@@ -169,9 +196,7 @@
         now: datetime.timedelta,
     ) -> Effects:
         if self._admission.would_miss_deadline(request, now):
-            return [
-                self.requests.refuse(request, request_parts.Reason.DEADLINE)
-            ]
+            return [self.refuse(request, request_parts.Reason.DEADLINE)]
         if not request.under_lease and not request.first_part.idempotent:
             return [
                 self.requests.end_as_unknown(
--- a/acaciamoor/placement/messages.py
+++ b/acaciamoor/placement/messages.py
@@ -118,12 +118,16 @@
     payload : object
         One part of the answer, for `wire.Outcome.COMPLETE`; each part of an
         answer is an effect of its own.
+    retry_after : datetime.timedelta
+        Time after which a request that has not run may succeed; zero if it is
+        not known.
     """
 
     request_part: requests.RequestPart
     outcome: wire.Outcome
     reason: requests.Reason = requests.Reason.NONE
     payload: object = None
+    retry_after: datetime.timedelta = datetime.timedelta(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/acaciamoor/placement/outcomes.py
+++ b/acaciamoor/placement/outcomes.py
@@ -76,11 +76,9 @@
             return []
         self._dispatcher.unbind_shed_request(request)
         if not self._dispatcher.has_alternative(request):
-            return [self._dispatcher.requests.refuse(request, _Reason.SHED)]
+            return [self._dispatcher.refuse(request, _Reason.SHED)]
         if not self._budget.try_withdraw():
-            return [
-                self._dispatcher.requests.refuse(request, _Reason.RETRY_BUDGET)
-            ]
+            return [self._dispatcher.refuse(request, _Reason.RETRY_BUDGET)]
         now = self._clock.monotonic()
         spread = _MAX_RETRY_DELAY - _MIN_RETRY_DELAY
         request.not_before = (
@@ -115,7 +113,7 @@
             if request.waiting:
                 self._dispatcher.queue.discard(request)
                 effects.append(
-                    self._dispatcher.requests.refuse(request, _Reason.DEADLINE)
+                    self._dispatcher.refuse(request, _Reason.DEADLINE)
                 )
             else:
                 effects += self._time_out(request)
--- a/acaciamoor/placement/placer.py
+++ b/acaciamoor/placement/placer.py
@@ -87,7 +87,7 @@
             ledger = ledgers.RequestLedger(clock)
         self._clock = clock
         self._ledger = ledger
-        self._dispatcher = dispatch.Dispatcher(clock, policy, ledger)
+        self._dispatcher = dispatch.Dispatcher(clock, policy, ledger, rng)
         self._requests = self._dispatcher.requests
         self._lease = self._dispatcher.lease
         self._budget = retry.RetryBudget(policy.retry_ratio)
--- a/acaciamoor/placement/request_table.py
+++ b/acaciamoor/placement/request_table.py
@@ -76,6 +76,7 @@
         self,
         request: active_request.ActiveRequest,
         reason: request_parts.Reason,
+        retry_after: datetime.timedelta = datetime.timedelta(0),
     ) -> messages.Reply:
         """End a request that this placer has not run.
 
@@ -91,7 +92,12 @@
             return self.end_as_unknown(request, reason)
         self._end(request)
         self._ledger.mark_refused(request.first_part.key)
-        return messages.Reply(request.first_part, wire.Outcome.NOT_RUN, reason)
+        return messages.Reply(
+            request.first_part,
+            wire.Outcome.NOT_RUN,
+            reason,
+            retry_after=retry_after,
+        )
 
     def end_as_unknown(
         self,
--- a/acaciamoor/wire/envelope.capnp
+++ b/acaciamoor/wire/envelope.capnp
@@ -16,6 +16,7 @@
   idempotent @11 :Bool;
   reason @12 :Text;
   payload @13 :Data;
+  retryAfterMs @14 :UInt32;
 
   enum Kind {
     open @0;
--- a/acaciamoor/wire/envelope.py
+++ b/acaciamoor/wire/envelope.py
@@ -79,6 +79,9 @@
         For a refusal, its cause.
     payload : bytes
         Application data, at most `MAX_PAYLOAD_BYTES`.
+    retry_after : datetime.timedelta
+        For a refusal, the time after which the request may succeed; zero if
+        that is not known.
     """
 
     kind: EnvelopeKind
@@ -95,6 +98,7 @@
     outcome: Outcome = Outcome.COMPLETE
     reason: str = ''
     payload: bytes = b''
+    retry_after: datetime.timedelta = datetime.timedelta(0)
 
 
 def encode(envelope: Envelope) -> bytes:
@@ -125,6 +129,7 @@
         idempotent=envelope.idempotent,
         reason=envelope.reason,
         payload=envelope.payload,
+        retryAfterMs=envelope.retry_after // _MILLISECOND,
     )
     return message.to_bytes()
 
@@ -166,4 +171,5 @@
         outcome=Outcome(message.outcome.raw),
         reason=message.reason,
         payload=bytes(message.payload),
+        retry_after=message.retryAfterMs * _MILLISECOND,
     )
--- a/acaciamoor/wire/tests/test_envelope.py
+++ b/acaciamoor/wire/tests/test_envelope.py
@@ -24,6 +24,7 @@
             outcome=wire.Outcome.OUTCOME_UNKNOWN,
             reason='placer-changed',
             payload=b'\x00spokes\xff',
+            retry_after=datetime.timedelta(milliseconds=340),
         )
         self.assertEqual(envelope, wire.decode(wire.encode(envelope)))
 
