Use a new connection for each read as well; test a planned stop of the operator API

Cause: HttpTransport kept connections of reads, and aiohttp takes what arrives on an idle one for the next response, so that an object was taken for another one.

--- a/acaciamoor/ctl/tests/test_ctl.py
+++ b/acaciamoor/ctl/tests/test_ctl.py
@@ -1,5 +1,6 @@
 """Commands against a server of the operator API over loopback."""
 
+import asyncio
 import contextlib
 import io
 import json
@@ -11,6 +12,7 @@
 
 from acaciamoor.ctl import main as ctl
 import acaciamoor.findings as findings
+from acaciamoor.model import documents
 from acaciamoor.operator import main as operator_main
 import acaciamoor.operator.tests as operator_tests
 import acaciamoor.platform as platform
@@ -232,3 +234,75 @@
         self.use('authority', 'client')
         code, _ = await self.run_command('--timeout=2', 'list')
         self.assertEqual(settings.ExitCode.FAILURE, code)
+
+
+class ShutdownTest(ProgramTestCase):
+    CALLS = 30
+    # Time of a write to the platform, in seconds.
+    WRITE_S = 0.02
+
+    async def create(self, number):
+        """Create a service; return the exit code of the command."""
+        return await ctl.run(
+            ctl.parse(
+                [
+                    *self.common,
+                    '--api-address',
+                    f'127.0.0.1:{self.port}',
+                    'create',
+                    f'desk-{number}',
+                    '--address',
+                    f'127.0.0.1:{8100 + number}',
+                    '--upstream',
+                    f'u-{number}@kgn-a=127.0.0.1:{9100 + number}',
+                ],
+                {},
+            )
+        )
+
+    def active_names(self):
+        """Return the names of the services that exist."""
+        return {
+            item.name
+            for item in self.table.listing(documents.SERVICE_KIND).objects
+            if documents.parse_service(item.name, item.value).phase
+            is documents.ServicePhase.ACTIVE
+        }
+
+    async def test_planned_stop_answers_what_it_has_accepted(self):
+        """Guards against changes that are made but reported as failed.
+
+        The server is stopped while most commands are in progress. A command
+        that was not accepted any more must not have changed anything.
+        """
+
+        writes = 0
+        busy = asyncio.Event()
+
+        async def wait(write):
+            nonlocal writes
+            writes += 1
+            if writes == self.CALLS:
+                busy.set()
+            await asyncio.sleep(self.WRITE_S)
+
+        self.transport.before_write = wait
+        with (
+            contextlib.redirect_stdout(io.StringIO()),
+            contextlib.redirect_stderr(io.StringIO()),
+        ):
+            commands = [
+                asyncio.create_task(self.create(number))
+                for number in range(self.CALLS)
+            ]
+            await busy.wait()
+            await self.server.stop(10.0)
+            codes = await asyncio.gather(*commands)
+        names_by_code = {code: set() for code in settings.ExitCode}
+        for number, code in enumerate(codes):
+            names_by_code[code].add(f'desk-{number}')
+        made = names_by_code[settings.ExitCode.SUCCESS]
+        unknown = names_by_code[settings.ExitCode.OUTCOME_UNKNOWN]
+        self.assertTrue(made)
+        self.assertLessEqual(made, self.active_names())
+        self.assertLessEqual(self.active_names(), made | unknown)
--- a/acaciamoor/platform/http.py
+++ b/acaciamoor/platform/http.py
@@ -57,10 +57,12 @@
 
     Notes
     -----
-    Each write uses a new connection: on a reused one, the outcome of a write
-    is unknown if the platform closes the idle connection at the same time.
-    aiohttp retries PUT and DELETE once if the connection breaks, so that such
-    a write may conflict with its own first copy; `PlatformStore` detects this.
+    Each request uses a new connection: on a reused one, a late second copy of
+    a response would be taken for the response to the next request, and the
+    outcome of a write is unknown if the platform closes the idle connection
+    at the same time. aiohttp retries PUT and DELETE once if the connection
+    breaks, so that such a write may conflict with its own first copy;
+    `PlatformStore` detects this.
     """
 
     def __init__(
@@ -68,16 +70,14 @@
     ) -> None:
         self._base_url = base_url.rstrip('/')
         self._timeouts = timeouts or Timeouts()
-        timeout = _client_timeout(self._timeouts)
-        self._read_session = aiohttp.ClientSession(timeout=timeout)
-        self._write_session = aiohttp.ClientSession(
-            timeout=timeout, connector=aiohttp.TCPConnector(force_close=True)
+        self._session = aiohttp.ClientSession(
+            timeout=_client_timeout(self._timeouts),
+            connector=aiohttp.TCPConnector(force_close=True),
         )
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._read_session.close()
-        await self._write_session.close()
+        await self._session.close()
 
     async def __aenter__(self) -> typing.Self:
         return self
@@ -138,7 +138,7 @@
             sock_read=self._timeouts.watch_idle.total_seconds(),
         )
         try:
-            async with self._read_session.get(
+            async with self._session.get(
                 self._base_url + codec.path(kind),
                 params=parameters,
                 timeout=timeout,
@@ -154,7 +154,7 @@
         self, path: str, query: dict[str, str] | None = None
     ) -> bytes:
         try:
-            async with self._read_session.get(
+            async with self._session.get(
                 self._base_url + path, params=query
             ) as response:
                 await _raise_for_status(response, errors.Unavailable)
@@ -164,7 +164,7 @@
 
     async def _write(self, method: str, path: str, body: bytes) -> bytes:
         try:
-            async with self._write_session.request(
+            async with self._session.request(
                 method,
                 self._base_url + path,
                 data=body,
