Forget upstreams that are gone, and evict the flow that is idle for longest

Cause: loads, suspicions and warm-ups of upstreams were kept for ever, and a full flow tracker evicted the flow that was added first. Read from code; the test of the eviction failed before. Expired flows are found without a search of all flows.

--- a/acaciamoor/directory/directory.py
+++ b/acaciamoor/directory/directory.py
@@ -173,8 +173,8 @@
             self._candidates_by_service[service] = found
         return found
 
-    def expire(self, now: datetime.timedelta) -> None:
-        """Discard removed entries whose retention has ended."""
+    def expire(self, now: datetime.timedelta) -> list[model.UpstreamId]:
+        """Discard removed entries whose retention has ended; return these."""
         limit = now - self._settings.retention
         expired = [
             upstream_id
@@ -185,6 +185,7 @@
             del self._removed_by_id[upstream_id]
         if expired:
             self._indexes_by_address.clear()
+        return expired
 
     def _invalidate_caches(self, indexes_too: bool) -> None:
         self._candidates_by_service.clear()
--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -206,7 +206,10 @@
     def expire(self, now: datetime.timedelta) -> None:
         """Remove idle flows and expired upstreams."""
         self._flow_tracker.expire(now, self._settings.idle_timeout)
-        self._directory.expire(now)
+        for upstream_id in self._directory.expire(now):
+            self.load_tracker.forget(upstream_id)
+            self.failure_detector.forget(upstream_id)
+            self.placer.forget(upstream_id)
 
     def _handle_opening(
         self,
--- a/acaciamoor/forwarder/packet.py
+++ b/acaciamoor/forwarder/packet.py
@@ -49,3 +49,6 @@
 
     def encode_reset(self, key: pending.FlowKey, sequence: int) -> bytes:
         """Return the datagram that resets a flow."""
+
+    def get_caller_address(self, key: pending.FlowKey) -> tuple[str, int]:
+        """Return the address that takes packets for the caller of a flow."""
--- a/acaciamoor/openings/failure_detector.py
+++ b/acaciamoor/openings/failure_detector.py
@@ -93,3 +93,7 @@
         """Return whether new flows should avoid an upstream."""
         record = self._records_by_id.get(upstream_id)
         return record is not None and now < record.until
+
+    def forget(self, upstream_id: model.UpstreamId) -> None:
+        """Remove the record of an upstream that no longer exists."""
+        self._records_by_id.pop(upstream_id, None)
--- a/acaciamoor/openings/flow_tracker.py
+++ b/acaciamoor/openings/flow_tracker.py
@@ -54,8 +54,8 @@
     demand_tracker : DemandTracker
         Receives the start of each request and its duration.
     limit : int
-        Maximum number of tracked flows; the one that was added first is
-        evicted first.
+        Maximum number of tracked flows; the one that has been idle for
+        longest is evicted first.
     """
 
     def __init__(
@@ -104,6 +104,8 @@
         flow = self._flows_by_key.get(key)
         if flow is None or flow.upstream_id != upstream_id:
             flow = self._add(key, upstream_id, service, acknowledged, now)
+        else:
+            self._flows_by_key.move_to_end(key)
         answered = acknowledged != flow.acknowledged
         flow.acknowledged = acknowledged
         flow.last_seen_at = now
@@ -132,11 +134,11 @@
     ) -> None:
         """Remove flows that were idle for longer than `idle`."""
         limit = now - idle
-        expired = [
-            key
-            for key, flow in self._flows_by_key.items()
-            if flow.last_seen_at < limit
-        ]
+        expired = []
+        for key, flow in self._flows_by_key.items():
+            if flow.last_seen_at >= limit:
+                break
+            expired.append(key)
         for key in expired:
             self.record_end(key, now)
 
--- a/acaciamoor/openings/placer.py
+++ b/acaciamoor/openings/placer.py
@@ -110,6 +110,10 @@
         else:
             self._warm_at_by_id.pop(upstream_id, None)
 
+    def forget(self, upstream_id: model.UpstreamId) -> None:
+        """Remove the warm-up of an upstream that no longer exists."""
+        self._warm_at_by_id.pop(upstream_id, None)
+
     def choose(
         self,
         candidates: collections.abc.Sequence[directory.UpstreamEntry],
--- a/acaciamoor/openings/tests/test_openings.py
+++ b/acaciamoor/openings/tests/test_openings.py
@@ -305,6 +305,23 @@
         self.tracker.expire(16 * SECOND, 15 * SECOND)
         self.assertEqual(0, len(self.tracker))
 
+    def test_flow_that_was_idle_for_longest_is_evicted(self):
+        """Guards against losing busy flows that were opened early."""
+        tracker = openings.FlowTracker(
+            self.load_tracker, openings.DemandTracker(), limit=2
+        )
+        for step, name in enumerate(('a', 'b', 'a', 'c')):
+            key = (ord(name), 1, 2, 3)
+            upstream_id = f'desk-{name}'
+            tracker.record_packet(
+                key, upstream_id, 1, 1, step + 1, step * SECOND
+            )
+        now = 9 * SECOND
+        self.assertGreater(self.load_tracker.estimate('desk-a', now), 0.5)
+        self.assertLess(self.load_tracker.estimate('desk-b', now), 0.1)
+        tracker.expire(now, 6.5 * SECOND)
+        self.assertEqual(1, len(tracker))
+
 
 class PendingOpeningsTest(unittest.TestCase):
     def test_number_of_openings_is_bounded(self):
