Tell other hosts of few hosts elsewhere, and skip hosts that are gone for longer

Cause: by reading. With 11,000 hosts each one that starts would have learned of all others (550 KB); now of those of its data centre and of four of each other one. Hosts that are gone for good were tried again every minute, and the relay changed its role for a moment each time; the time doubles up to half an hour now.

--- a/acaciamoor/forwarder/__init__.py
+++ b/acaciamoor/forwarder/__init__.py
@@ -1,7 +1,7 @@
 """Forwards packets of flows to upstreams that reply to callers directly."""
 
-from acaciamoor.forwarder.core import CoreSettings
 from acaciamoor.forwarder.core import ForwarderCore
+from acaciamoor.forwarder.core_settings import CoreSettings
 from acaciamoor.forwarder.effects import Decision
 from acaciamoor.forwarder.effects import Drop
 from acaciamoor.forwarder.effects import DropReason
--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -15,7 +15,7 @@
 from acaciamoor.forwarder.shell import adoption as adoptions
 from acaciamoor.forwarder.shell import discovery
 from acaciamoor.forwarder.shell import limits
-from acaciamoor.forwarder.shell import relay_link
+from acaciamoor.forwarder.shell import relay_links
 from acaciamoor.forwarder.shell import relay_server
 from acaciamoor.forwarder.shell import sources
 from acaciamoor.telemetry import exposition
@@ -91,12 +91,18 @@
             )
             for replica in self._replicas_by_kind.values()
         ]
-        self._started_at = clock.monotonic()
-        self._first_seed = random_source.randrange(1 << 16)
-        self._failed_links = 0
+        self._links = relay_links.RelayLinks(
+            settings,
+            self._replicas_by_kind,
+            self._peers,
+            self._on_message,
+            self._on_lost_link,
+            self._count_hosts_below,
+            clock,
+            random_source.randrange(1 << 16),
+        )
         # Set if another host was asked for data and has none.
         self._seeds_failed = asyncio.Event()
-        self._links_by_address: dict[model.Address, asyncio.Task[None]] = {}
         # Number of hosts of the data centre, as others of it say.
         self._local_hosts_by_address: dict[model.Address, int] = {}
         self._last_role = replicas.Role.ALONE
@@ -150,9 +156,7 @@
         """
         for source in self._sources:
             source.cancel()
-        for task in self._links_by_address.values():
-            task.cancel()
-        self._links_by_address.clear()
+        self._links.close()
 
     def age(self) -> datetime.timedelta | None:
         """Return the largest age of the replicas; None if one has no age."""
@@ -204,7 +208,7 @@
             for source in self._sources:
                 source.update_calls(role, self._age_limits, now)
             relays = self._peers.relays(now)
-            self._update_links(relays, now)
+            self._links.update(relays, self._initialized, now)
             self._update_local_hosts(relays, now)
             await asyncio.sleep(limits.SOURCE_CHECK_INTERVAL.total_seconds())
 
@@ -238,88 +242,15 @@
             self._last_role = role
         return role
 
-    def _update_links(
-        self, relays: tuple[replicas.Peer, ...], now: datetime.timedelta
-    ) -> None:
-        wanted = set(relays)
-        if not self._initialized:
-            wanted = set(self._select_initial_peers(now))
-        elif now - self._started_at < limits.SEED_LINK_PERIOD:
-            wanted.update(self._select_seeds(now))
-        wanted.discard(self._settings.own)
-        peers_by_address = {peer.address: peer for peer in wanted}
-        links = self._links_by_address
-        for address in links.keys() - peers_by_address.keys():
-            links.pop(address).cancel()
-        for address in peers_by_address.keys() - links.keys():
-            links[address] = supervision.spawn(
-                self._run_link(peers_by_address[address])
-            )
-
     @property
     def _initialized(self) -> bool:
         return all(
             item.initialized for item in self._replicas_by_kind.values()
         )
 
-    def _select_initial_peers(
-        self, now: datetime.timedelta
-    ) -> collections.abc.Sequence[replicas.Peer]:
-        """Return the hosts to ask for whole collections.
-
-        At first it is a single one, since every host that is asked sends both
-        collections.
-        """
-        fallback_peers = self._peers.fallback_peers(now)
-        elapsed = now - self._started_at
-        if elapsed >= limits.SINGLE_SOURCE_PERIOD and fallback_peers:
-            return fallback_peers
-        return self._select_seeds(now) or fallback_peers[:1]
-
-    def _select_seeds(
-        self, now: datetime.timedelta
-    ) -> collections.abc.Sequence[replicas.Peer]:
-        """Return a seed to connect to; on seeds, all others.
-
-        Hosts start with different seeds, and go on to the next one if theirs
-        is down or has no data.
-        """
-        own = self._settings.own
-        seeds = [
-            self._peers.find(address)
-            or replicas.Peer(
-                model.HostId(str(address)), own.data_centre, address
-            )
-            for address in self._settings.seeds
-            if address != own.address
-        ]
-        if not seeds or own.address in self._settings.seeds:
-            return seeds
-        turn = self._failed_links
-        if not self._initialized:
-            turn += (now - self._started_at) // limits.SEED_TURN
-        return [seeds[(self._first_seed + turn) % len(seeds)]]
-
-    async def _run_link(self, peer: replicas.Peer) -> None:
-        link = relay_link.RelayLink(
-            self._settings.own,
-            peer,
-            self._replicas_by_kind,
-            self._on_message,
-            self._count_hosts_below,
-        )
-        try:
-            await link.run()
-        except (OSError, EOFError, replicas.MessageError) as error:
-            _LOG.info('relay %s is lost: %r', peer.host_id, error)
-            self._failed_links += 1
-            self._stop_waiting_for_seeds()
-            self._peers.mark_unreachable(peer.host_id, self._clock.monotonic())
-        finally:
-            links = self._links_by_address
-            if links.get(peer.address) is asyncio.current_task():
-                del links[peer.address]
-                self._local_hosts_by_address.pop(peer.address, None)
+    def _on_lost_link(self, peer: replicas.Peer) -> None:
+        self._local_hosts_by_address.pop(peer.address, None)
+        self._stop_waiting_for_seeds()
 
     def _on_message(
         self, peer: replicas.Peer, message: replicas.Message
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -15,6 +15,7 @@
 from acaciamoor import model
 from acaciamoor import sockets
 from acaciamoor.forwarder import core as cores
+from acaciamoor.forwarder import core_settings
 from acaciamoor.forwarder import packet as packets
 from acaciamoor.forwarder import store_schema as schemas
 from acaciamoor.forwarder import sync_status
@@ -65,7 +66,7 @@
         Settings for keeping routes and upstreams up to date.
     """
 
-    core: cores.CoreSettings
+    core: core_settings.CoreSettings
     directory: directories.DirectorySettings
     sync: limits.SyncSettings
     listen: model.Address
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -122,7 +122,7 @@
 
     def publish_peers(self, peers: list[replicas.Peer]) -> None:
         """Send hosts to all listeners, with the next heartbeat."""
-        self._new_peers.extend(peers)
+        self._new_peers.extend(filter(self._peers.is_shared, peers))
 
     def pass_on_confirmation(self) -> None:
         """Send a heartbeat at once, or soon if one was sent just now."""
@@ -253,7 +253,10 @@
         self, hello: replicas.Hello
     ) -> collections.abc.Iterator[replicas.Message]:
         """Yield what a new listener lacks."""
-        yield _encode_peers(self._peers.peers)
+        data_centre = self._own.data_centre
+        if hello.peer is not None:
+            data_centre = hello.peer.data_centre
+        yield _encode_peers(self._peers.select_shared(data_centre))
         now = self._clock.monotonic()
         initialized = False
         for kind, replica in self._replicas_by_kind.items():
--- a/acaciamoor/load/scenarios/openings.py
+++ b/acaciamoor/load/scenarios/openings.py
@@ -13,6 +13,7 @@
 from acaciamoor.load.scenarios import registry
 from acaciamoor.load.scenarios import site_model
 from acaciamoor.load.scenarios import site_patterns
+from acaciamoor.load.scenarios import site_placements
 
 NAME = 'openings-crest'
 PATTERNS_NAME = 'openings-patterns'
@@ -141,7 +142,7 @@
         for build in site_patterns.PATTERNS
         for hosts in SITE_SIZES
         for pattern in (dataclasses.replace(build(), hosts=hosts),)
-        for name in site_model.PLACEMENTS_BY_NAME
+        for name in site_placements.PLACEMENTS_BY_NAME
         for outcome in (site_model.replay(name, pattern, options.seed),)
         for measure, value in (
             ('in time', outcome.in_time),
--- a/acaciamoor/replica/peers.py
+++ b/acaciamoor/replica/peers.py
@@ -73,6 +73,9 @@
     max_unreachable_period : datetime.timedelta
         Maximum of that time. Entries of hosts that are gone for good stay in
         the list.
+    shared_per_data_centre : int
+        Number of hosts of each other data centre that hosts tell each other
+        of. Only the best ones matter there.
     max_registered : int
         Number of better relays in its data centre from which on a host does
         not register itself. Each entry costs a write at the first start.
@@ -84,7 +87,8 @@
     min_hosts: int = 6
     hosts_per_branch: int = 16
     unreachable_period: datetime.timedelta = datetime.timedelta(seconds=4)
-    max_unreachable_period: datetime.timedelta = datetime.timedelta(minutes=1)
+    max_unreachable_period: datetime.timedelta = datetime.timedelta(minutes=30)
+    shared_per_data_centre: int = 4
     max_registered: int = 4
     max_registration_delay: datetime.timedelta = datetime.timedelta(seconds=2)
 
@@ -127,11 +131,6 @@
     def __len__(self) -> int:
         return len(self._peers_by_id)
 
-    @property
-    def peers(self) -> tuple[Peer, ...]:
-        """All known hosts, this one included."""
-        return tuple(self._peers_by_id.values())
-
     def add(
         self, peers: collections.abc.Iterable[Peer], replace: bool = True
     ) -> list[Peer]:
@@ -159,6 +158,23 @@
             self._rank()
         return changed
 
+    def select_shared(
+        self, data_centre: model.DataCentre
+    ) -> collections.abc.Iterator[Peer]:
+        """Yield the known hosts that matter to those of a data centre."""
+        for name, ranked in self._ranked_by_data_centre.items():
+            if name == data_centre:
+                yield from ranked
+            else:
+                yield from ranked[: self._settings.shared_per_data_centre]
+
+    def is_shared(self, peer: Peer) -> bool:
+        """Return whether a host matters to those that listen to this one."""
+        if peer.data_centre == self._own.data_centre:
+            return True
+        ranked = self._ranked_by_data_centre[peer.data_centre]
+        return peer in ranked[: self._settings.shared_per_data_centre]
+
     def find(self, address: model.Address) -> Peer | None:
         """Return the host with an address; None if it is not known."""
         for peer in self._peers_by_id.values():
@@ -243,7 +259,7 @@
         local = set(self._local)
         others = [peer for peer in self._local if peer != self._own]
         others += sorted(
-            (peer for peer in self.peers if peer not in local),
+            (peer for peer in self._peers_by_id.values() if peer not in local),
             key=_relay_order,
         )
         return self._first_reachable(others, now)
--- a/acaciamoor/replica/tests/test_tree.py
+++ b/acaciamoor/replica/tests/test_tree.py
@@ -135,6 +135,17 @@
         self.assertLessEqual(busiest[60], busiest[20] * 3**0.3)
         self.assertLess(busiest[367], 80)
 
+    def test_hosts_learn_of_few_hosts_elsewhere(self):
+        """Guards against lists of all hosts of all sites on every host."""
+        peers = site(30, 367)
+        known = replica.PeerList(peers[0])
+        known.add(peers)
+        shared = list(known.select_shared('dc-1'))
+        self.assertEqual(367 + 29 * 4, len(shared))
+        self.assertTrue(known.is_shared(peers[366]))
+        shared_elsewhere = sum(map(known.is_shared, peers[367 : 2 * 367]))
+        self.assertEqual(4, shared_elsewhere)
+
 
 if __name__ == '__main__':
     unittest.main()
