--- a/acaciamoor/demo/site.py
+++ b/acaciamoor/demo/site.py
@@ -2,11 +2,16 @@
 
 import contextlib
 import dataclasses
+import secrets
 import socket
 
 from acaciamoor import model
 
 _IP = '127.0.0.1'
+# Ports below those that the system gives to connections and to sockets that
+# ask for any port: these may take a port between its release and the start of
+# the process that it is for.
+_PORTS = range(10240, 32768)
 DATA_CENTRE = model.DataCentre('kgn-a')
 
 
@@ -26,9 +31,9 @@
             stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self._sockets.callback(datagram.close)
             self._sockets.callback(stream.close)
-            datagram.bind((_IP, 0))
-            port = datagram.getsockname()[1]
+            port = secrets.choice(_PORTS)
             with contextlib.suppress(OSError):
+                datagram.bind((_IP, port))
                 stream.bind((_IP, port))
                 return model.Address(_IP, port)
 
