Log and count refusals, waits and returns of the balancer's requests

Cause: a refusal left a count by reason alone; on-call engineers could not tell what it rested on, nor whether callers came back when told. The forwarder's code is unchanged.

--- a/acaciamoor/balancer/core/__init__.py
+++ b/acaciamoor/balancer/core/__init__.py
@@ -8,6 +8,8 @@
 from acaciamoor.balancer.core.effects import PollUpstreams
 from acaciamoor.balancer.core.effects import RequestEnded
 from acaciamoor.balancer.core.effects import RequestOutcome
+from acaciamoor.balancer.core.effects import RequestRefused
+from acaciamoor.balancer.core.effects import RequestStarted
 from acaciamoor.balancer.core.effects import SetWatch
 from acaciamoor.balancer.core.effects import Severity
 from acaciamoor.balancer.core.effects import ToCaller
@@ -56,6 +58,8 @@
     'PollUpstreams',
     'RequestEnded',
     'RequestOutcome',
+    'RequestRefused',
+    'RequestStarted',
     'ServiceChanged',
     'ServicesListed',
     'SetWatch',
--- a/acaciamoor/balancer/core/counters.py
+++ b/acaciamoor/balancer/core/counters.py
@@ -22,6 +22,11 @@
     )
     REQUESTS_SENT = ('new_work', 'service', 'Requests sent to upstreams.')
     REFUSALS = ('refusals', 'reason', 'Refusals sent to callers.')
+    RETURNS = (
+        'refused_callers',
+        'event',
+        'Refused callers that were told when to return, and that did.',
+    )
     RETRIES = ('retries', 'service', 'Requests sent again after a refusal.')
     DROPS = ('dropped_datagrams', 'reason', 'Datagrams dropped.')
     CONTROL_BYTES_SENT = (
--- a/acaciamoor/balancer/core/effects.py
+++ b/acaciamoor/balancer/core/effects.py
@@ -7,6 +7,7 @@
 import typing
 
 from acaciamoor import model
+from acaciamoor import placement
 
 SocketAddress = tuple[str, int]
 
@@ -113,6 +114,50 @@
     short_request_time: datetime.timedelta | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestStarted:
+    """Record in the metrics that a request was sent to an upstream.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    waited : datetime.timedelta
+        Time for which it has waited for a slot.
+    """
+
+    service: str
+    waited: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestRefused:
+    """Log a refusal, with what it rests on.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    flow : int
+        Flow of the request.
+    outcome : RequestOutcome
+        Outcome of the request.
+    reason : str
+        Cause of the refusal.
+    retry_after : datetime.timedelta
+        Time after which the caller was told to return; zero if it was not.
+    inputs : RefusalInputs or None
+        What the placer knew; None if no placer decided.
+    """
+
+    service: str
+    flow: int
+    outcome: RequestOutcome
+    reason: str
+    retry_after: datetime.timedelta
+    inputs: placement.RefusalInputs | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exit:
     """Exit the process, at the end of a graceful shutdown."""
@@ -126,6 +171,8 @@
     | WriteStatus
     | PollUpstreams
     | WriteLog
+    | RequestStarted
+    | RequestRefused
     | RequestEnded
     | Exit
 )
--- a/acaciamoor/balancer/core/placer_effects.py
+++ b/acaciamoor/balancer/core/placer_effects.py
@@ -28,6 +28,7 @@
         outcome: wire.Outcome,
         reason: str,
         retry_after: datetime.timedelta = datetime.timedelta(0),
+        inputs: placement.RefusalInputs | None = None,
     ) -> Effects:
         """Refuse a request with the outcome that is known."""
 
@@ -52,11 +53,14 @@
     ) -> Effects:
         """Forward a datagram of a request to another balancer."""
 
-    def count_bound_request(
-        self, key: placer_registry.ShardKey, request: placement.RequestKey
-    ) -> None:
+    def record_start(
+        self, key: placer_registry.ShardKey, bind: placement.Bind
+    ) -> Effects:
         """Count a request that is bound to an upstream."""
 
+    def record_return(self) -> None:
+        """Count a refused caller that came back when it was told to."""
+
 
 @functools.singledispatch
 def carry_out(
@@ -84,9 +88,11 @@
     builder: EffectBuilder,
     key: placer_registry.ShardKey,
 ) -> Effects:
-    builder.count_bound_request(key, effect.request_part.key)
     address = effect.upstream.address.as_tuple()
-    return [effects.ToUpstream(address, data) for data in effect.payloads]
+    return [
+        *(effects.ToUpstream(address, data) for data in effect.payloads),
+        *builder.record_start(key, effect),
+    ]
 
 
 @carry_out.register
@@ -111,6 +117,7 @@
             effect.outcome,
             effect.reason,
             effect.retry_after,
+            effect.inputs,
         )
     return builder.answer(effect.request_part, effect.payload)
 
@@ -161,3 +168,13 @@
     key: placer_registry.ShardKey,
 ) -> Effects:
     return builder.on_health(key, effect)
+
+
+@carry_out.register
+def _(
+    effect: placement.CallerReturned,
+    builder: EffectBuilder,
+    key: placer_registry.ShardKey,
+) -> Effects:
+    builder.record_return()
+    return []
--- a/acaciamoor/balancer/core/request_effects.py
+++ b/acaciamoor/balancer/core/request_effects.py
@@ -77,19 +77,28 @@
         outcome: wire.Outcome,
         reason: str,
         retry_after: datetime.timedelta = datetime.timedelta(0),
+        inputs: placement.RefusalInputs | None = None,
     ) -> Effects:
         """Refuse a request with the outcome that is known."""
         self._counters.add(counts.Metric.REFUSALS, str(reason))
+        if retry_after:
+            self._counters.add(counts.Metric.RETURNS, 'told')
         data = requests.refusal(
             request_part, outcome, str(reason), retry_after
         )
-        request_ended = effects.RequestEnded(
-            self._name_of(request_part.caller.service_id),
-            _REQUEST_OUTCOMES_BY_WIRE_OUTCOME[outcome],
-        )
+        service = self._name_of(request_part.caller.service_id)
+        request_outcome = _REQUEST_OUTCOMES_BY_WIRE_OUTCOME[outcome]
         return [
             effects.ToCaller(request_part.caller.address, data),
-            request_ended,
+            effects.RequestRefused(
+                service,
+                request_part.flow,
+                request_outcome,
+                str(reason),
+                retry_after,
+                inputs,
+            ),
+            effects.RequestEnded(service, request_outcome),
         ]
 
     def answer(
@@ -144,16 +153,22 @@
             host_id, wire.Forward(purpose, data, hops=MAX_HOPS, held=held)
         )
 
-    def count_bound_request(
-        self, key: placer_registry.ShardKey, request: placement.RequestKey
-    ) -> None:
+    def record_return(self) -> None:
+        """Count a refused caller that came back when it was told to."""
+        self._counters.add(counts.Metric.RETURNS, 'returned')
+
+    def record_start(
+        self, key: placer_registry.ShardKey, bind: placement.Bind
+    ) -> Effects:
         """Count a request that is bound to an upstream."""
+        request = bind.request_part.key
         name = self._name_of(key.service_id)
         self._counters.add(counts.Metric.REQUESTS_SENT, name)
         shed_requests = self._shed_requests_by_shard.get(key)
         if shed_requests and request in shed_requests:
             shed_requests.discard(request)
             self._counters.add(counts.Metric.RETRIES, name)
+        return [effects.RequestStarted(name, bind.waited)]
 
     def set_service_name(self, service_id: model.ServiceId, name: str) -> None:
         """Set the name of a service and export its counts from 0."""
--- a/acaciamoor/balancer/shell/metrics.py
+++ b/acaciamoor/balancer/shell/metrics.py
@@ -66,7 +66,7 @@
 
 
 class RequestMetrics:
-    """Records outcomes of requests and the duration of short requests.
+    """Records how requests wait and end, and how long short ones take.
 
     Parameters
     ----------
@@ -85,8 +85,18 @@
             explicit_bucket_boundaries_advisory=_SHORT_REQUEST_BOUNDS_S,
         )
 
+        self._queue_time = meter.create_histogram(
+            _PREFIX + 'queue_seconds',
+            description='Time from arrival to an upstream.',
+            explicit_bucket_boundaries_advisory=_SHORT_REQUEST_BOUNDS_S,
+        )
+
     def record(self, effect: cores.Effect) -> None:
-        """Record `effect` if it is the end of a request."""
+        """Record `effect` if it is the start or the end of a request."""
+        if isinstance(effect, cores.RequestStarted):
+            self._queue_time.record(
+                effect.waited.total_seconds(), {'service': effect.service}
+            )
         if not isinstance(effect, cores.RequestEnded):
             return
         labels = {'service': effect.service}
--- a/acaciamoor/balancer/shell/process.py
+++ b/acaciamoor/balancer/shell/process.py
@@ -18,6 +18,7 @@
 from acaciamoor.balancer.shell import health_endpoint
 from acaciamoor.balancer.shell import metrics
 from acaciamoor.balancer.shell import platform_task
+from acaciamoor.balancer.shell import request_log
 from acaciamoor.balancer.shell import upstream_poller
 import acaciamoor.clock as clocks
 import acaciamoor.model as model
@@ -149,6 +150,7 @@
         meter = endpoint.meter('acaciamoor.balancer')
         metrics.register(meter, driver)
         driver.effects.subscribe(metrics.RequestMetrics(meter).record)
+        driver.effects.subscribe(request_log.RequestLog(self._clock).record)
 
     async def _start_tasks(
         self, stack: contextlib.AsyncExitStack, driver: drivers.Driver
@@ -269,14 +271,16 @@
     LOG.log(effect.severity, effect.message, extra=fields)
 
 
-@_carry_out.register
+@_carry_out.register(cores.RequestStarted)
+@_carry_out.register(cores.RequestRefused)
+@_carry_out.register(cores.RequestEnded)
 def _(
-    effect: cores.RequestEnded,
+    effect: cores.Effect,
     platform_connection: platform_task.PlatformTask,
     poller: upstream_poller.UpstreamPoller,
     stopped: asyncio.Event,
 ) -> None:
-    """Do nothing; `metrics.RequestMetrics` records the end of a request."""
+    """Do nothing; `RequestMetrics` and `RequestLog` record requests."""
 
 
 @_carry_out.register
--- a/acaciamoor/placement/__init__.py
+++ b/acaciamoor/placement/__init__.py
@@ -8,12 +8,14 @@
 from acaciamoor.placement.messages import Answer
 from acaciamoor.placement.messages import AskPeer
 from acaciamoor.placement.messages import Bind
+from acaciamoor.placement.messages import CallerReturned
 from acaciamoor.placement.messages import CancelUpstream
 from acaciamoor.placement.messages import Effect
 from acaciamoor.placement.messages import HandOver
 from acaciamoor.placement.messages import HealthChanged
 from acaciamoor.placement.messages import LoadReport
 from acaciamoor.placement.messages import ProbeResult
+from acaciamoor.placement.messages import RefusalInputs
 from acaciamoor.placement.messages import Reply
 from acaciamoor.placement.messages import SendPart
 from acaciamoor.placement.messages import Shed
@@ -30,6 +32,7 @@
     'Answer',
     'AskPeer',
     'Bind',
+    'CallerReturned',
     'CancelUpstream',
     'Effect',
     'HandOver',
@@ -39,6 +42,7 @@
     'Placer',
     'ProbeResult',
     'Reason',
+    'RefusalInputs',
     'Reply',
     'RequestKey',
     'RequestPart',
--- a/acaciamoor/placement/dispatch.py
+++ b/acaciamoor/placement/dispatch.py
@@ -57,6 +57,7 @@
         self.affinity = affinity.FlowAffinity()
         self.requests = request_table.RequestTable(clock, ledger, self.lease)
         self.returns = returns.ReturnSchedule(rng)
+        self.last_answered_at: datetime.timedelta | None = None
         self.bound = 0
         self._clock = clock
         self._long_requests = estimates.LongRequestCounter()
@@ -82,10 +83,13 @@
         reason = self._admission.refusal_reason(
             request, self.policy, now, promised, returning
         )
+        effects: Effects = []
+        if returning:
+            effects.append(messages.CallerReturned(request.first_part))
         if reason is not None:
-            return [self.refuse(request, reason)]
+            return [*effects, self.refuse(request, reason)]
         self.queue.push(request, now)
-        return self.bind_ready()
+        return effects + self.bind_ready()
 
     def refuse(
         self,
@@ -102,7 +106,15 @@
             wait,
             interval,
         )
-        return self.requests.refuse(request, reason, retry_after)
+        inputs = messages.RefusalInputs(
+            len(self.queue),
+            self.pool.total_slots,
+            wait,
+            None
+            if self.last_answered_at is None
+            else now - self.last_answered_at,
+        )
+        return self.requests.refuse(request, reason, retry_after, inputs)
 
     def bind_ready(self) -> Effects:
         """Bind queued requests while there are free slots."""
@@ -246,4 +258,5 @@
             request.first_part,
             upstream,
             tuple(request.parts_by_index.values()),
+            now - request.arrived_at,
         )
--- a/acaciamoor/placement/messages.py
+++ b/acaciamoor/placement/messages.py
@@ -74,6 +74,29 @@
     healthy: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalInputs:
+    """What a placer knew when it refused a request.
+
+    Parameters
+    ----------
+    queued : int
+        Requests that waited for a slot.
+    slots : int
+        Slots of the upstreams that took work.
+    expected_wait : datetime.timedelta
+        Expected wait for a slot.
+    estimate_age : datetime.timedelta or None
+        Time since the last answer, on which the expected wait rests; None
+        before the first one.
+    """
+
+    queued: int
+    slots: int
+    expected_wait: datetime.timedelta
+    estimate_age: datetime.timedelta | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bind:
     """Effect: send a request to an upstream.
@@ -87,11 +110,14 @@
         Destination.
     payloads : tuple of object
         Datagrams of the parts that have arrived, in order of arrival.
+    waited : datetime.timedelta
+        Time for which the request has waited here.
     """
 
     request_part: requests.RequestPart
     upstream: model.Upstream
     payloads: tuple[object, ...]
+    waited: datetime.timedelta = datetime.timedelta(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +147,8 @@
     retry_after : datetime.timedelta
         Time after which a request that has not run may succeed; zero if it is
         not known.
+    inputs : RefusalInputs or None
+        What a refusal rests on.
     """
 
     request_part: requests.RequestPart
@@ -128,6 +156,14 @@
     reason: requests.Reason = requests.Reason.NONE
     payload: object = None
     retry_after: datetime.timedelta = datetime.timedelta(0)
+    inputs: RefusalInputs | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerReturned:
+    """Effect: record that a refused caller came back when it was told to."""
+
+    request_part: requests.RequestPart
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,4 +225,5 @@
     | HandOver
     | AskPeer
     | HealthChanged
+    | CallerReturned
 )
--- a/acaciamoor/placement/outcomes.py
+++ b/acaciamoor/placement/outcomes.py
@@ -134,7 +134,9 @@
         return None
 
     def _complete(self, request: active_request.ActiveRequest) -> Effects:
-        elapsed = self._clock.monotonic() - request.bound_at
+        now = self._clock.monotonic()
+        elapsed = now - request.bound_at
+        self._dispatcher.last_answered_at = now
         self._dispatcher.release_slot(request)
         self._dispatcher.pool.reset_backoff(request.upstream.upstream_id)
         self._dispatcher.service_times.add_answered(
--- a/acaciamoor/placement/request_table.py
+++ b/acaciamoor/placement/request_table.py
@@ -77,6 +77,7 @@
         request: active_request.ActiveRequest,
         reason: request_parts.Reason,
         retry_after: datetime.timedelta = datetime.timedelta(0),
+        inputs: messages.RefusalInputs | None = None,
     ) -> messages.Reply:
         """End a request that this placer has not run.
 
@@ -97,6 +98,7 @@
             wire.Outcome.NOT_RUN,
             reason,
             retry_after=retry_after,
+            inputs=inputs,
         )
 
     def end_as_unknown(
--- a/acaciamoor/telemetry/logs.py
+++ b/acaciamoor/telemetry/logs.py
@@ -25,6 +25,11 @@
     'routes_version',
     'upstreams_version',
     'age_ms',
+    'outcome',
+    'queued',
+    'slots',
+    'wait_ms',
+    'retry_after_ms',
 )
 
 
