Promise no return to callers whose request may have run

Cause: by reading. A refusal whose outcome is unknown took a place in the schedule, which nobody was told of.

--- a/acaciamoor/placement/dispatch.py
+++ b/acaciamoor/placement/dispatch.py
@@ -97,6 +97,9 @@
         reason: request_parts.Reason,
     ) -> messages.Reply:
         """End a request that has not run; tell its caller when to return."""
+        if not self.requests.is_proved_not_run(request):
+            # Its caller must not send another one before it knows more.
+            return self.requests.end_as_unknown(request, reason)
         now = self._clock.monotonic()
         wait, interval = self._admission.drain_times(request, self.policy, now)
         retry_after = self.returns.reserve(
--- a/acaciamoor/placement/request_table.py
+++ b/acaciamoor/placement/request_table.py
@@ -72,6 +72,14 @@
         )
         return request
 
+    def is_proved_not_run(self, request: active_request.ActiveRequest) -> bool:
+        """Return whether no other placer can have run a request either."""
+        return (
+            request.no_earlier_run
+            and request.under_lease
+            and self._clock.monotonic() >= request.exclusive_from
+        )
+
     def refuse(
         self,
         request: active_request.ActiveRequest,
@@ -84,12 +92,7 @@
         The outcome is "not run" if no other placer can have run the request,
         else "outcome unknown".
         """
-        provable = (
-            request.no_earlier_run
-            and request.under_lease
-            and self._clock.monotonic() >= request.exclusive_from
-        )
-        if not provable:
+        if not self.is_proved_not_run(request):
             return self.end_as_unknown(request, reason)
         self._end(request)
         self._ledger.mark_refused(request.first_part.key)
--- a/acaciamoor/placement/tests/test_returns.py
+++ b/acaciamoor/placement/tests/test_returns.py
@@ -116,6 +116,13 @@
         self.assertEqual(Reason.NO_UPSTREAM, reply.reason)
         self.assertGreaterEqual(reply.retry_after, 0.5 * SECOND)
 
+    def test_caller_of_an_unknown_outcome_is_not_told_to_return(self):
+        """Guards against a second run of work that may have run."""
+        driver = builders.Driver(count=0, settled=False)
+        (reply,) = driver.submit(1, flow=7)
+        self.assertIs(wire.Outcome.OUTCOME_UNKNOWN, reply.outcome)
+        self.assertEqual(ZERO, reply.retry_after)
+
 
 if __name__ == '__main__':
     unittest.main()
