Take a malformed address in a message of another host for a faulty message

Cause: by reading. PeerState.to_peer raised ValueError, which neither the link nor the server of a host expects: the process goes on, but a link to such a host started again every 0.2 s without a back-off, and an operator saw a traceback instead of the reason. test_malformed_addresses_raise_message_error failed before.

--- a/acaciamoor/replica/messages.py
+++ b/acaciamoor/replica/messages.py
@@ -61,11 +61,21 @@
             raise ValueError(f'bandwidth {self.link_mbps} is out of range')
 
     def to_peer(self) -> peer_lists.Peer:
-        """Return the host."""
+        """Return the host.
+
+        Raises
+        ------
+        MessageError
+            If its address is malformed.
+        """
+        try:
+            address = model.Address(self.ip, self.port)
+        except ValueError as error:
+            raise MessageError(f'host {self.host_id!r}: {error}') from error
         return peer_lists.Peer(
             model.HostId(self.host_id),
             model.DataCentre(self.data_centre),
-            model.Address(self.ip, self.port),
+            address,
             self.link_mbps,
         )
 
--- a/acaciamoor/replica/tests/test_replica.py
+++ b/acaciamoor/replica/tests/test_replica.py
@@ -182,6 +182,19 @@
         with self.assertRaises(replica.MessageError):
             codec.decode_length(b'\xff\xff\xff\xff')
 
+    def test_malformed_addresses_raise_message_error(self):
+        """Guards against links and listeners that fail with other errors.
+
+        Only this one makes a link wait before it connects again.
+        """
+        codec = replica.MessageCodec()
+        for address in (('::1', -1), ('::1', 65536), ('nowhere', 80)):
+            peer = ['h', 'kgn-a', *address, 10.0]
+            body = {'type': 'Peers', 'peers': [peer]}
+            message = codec.decode(msgspec.msgpack.encode(body))
+            with self.assertRaises(replica.MessageError):
+                message.peers[0].to_peer()
+
     def test_values_out_of_range_raise_message_error(self):
         """Guards against a task that ends at a message of a faulty host."""
         codec = replica.MessageCodec()
