Log how much of a message or response had arrived when its time limit passed

Ruled out: a metric alone, which does not name the relay or the call. Change: both time-outs name the bytes that were received. No decision is changed.

--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -10,6 +10,7 @@
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
 # Silence after which a relay is considered lost: four heartbeat intervals.
 READ_TIMEOUT = datetime.timedelta(milliseconds=1600)
+_READ_BYTES = 1 << 16
 
 
 class RelayLink:
@@ -88,7 +89,26 @@
     async def _read_message(
         self, reader: asyncio.StreamReader
     ) -> replicas.Message:
-        async with asyncio.timeout(READ_TIMEOUT.total_seconds()):
-            header = await reader.readexactly(self._codec.header_bytes)
-            body = await reader.readexactly(self._codec.decode_length(header))
-        return self._codec.decode(body)
+        received = length = 0
+        chunks = []
+        try:
+            async with asyncio.timeout(READ_TIMEOUT.total_seconds()):
+                header = await reader.readexactly(self._codec.header_bytes)
+                length = self._codec.decode_length(header)
+                while received < length:
+                    chunk = await reader.read(
+                        min(length - received, _READ_BYTES)
+                    )
+                    if not chunk:
+                        raise EOFError(
+                            f'connection closed after {received} of {length} '
+                            'bytes of a message'
+                        )
+                    chunks.append(chunk)
+                    received += len(chunk)
+        except TimeoutError as error:
+            raise TimeoutError(
+                f'no message within {READ_TIMEOUT}; {received} of {length} '
+                'bytes received'
+            ) from error
+        return self._codec.decode(b''.join(chunks))
--- a/acaciamoor/platform/connection.py
+++ b/acaciamoor/platform/connection.py
@@ -68,6 +68,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._retry_after = ''
         self._chunks: list[bytes] = []
+        self.received_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse received data.
@@ -77,6 +78,7 @@
         ConnectionError
             If the data is not an HTTP response.
         """
+        self.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -157,10 +159,17 @@
             or self._writer.is_closing()
         ):
             raise ConnectionError('the connection is not open')
-        async with asyncio.timeout(timeout.total_seconds()):
-            self._writer.write(request)
-            await self._writer.drain()
-            return await self._read_response(self._reader)
+        handler = _ResponseHandler()
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                self._writer.write(request)
+                await self._writer.drain()
+                return await self._read_response(self._reader, handler)
+        except TimeoutError as error:
+            raise TimeoutError(
+                f'no complete response within {timeout}; '
+                f'{handler.received_bytes} bytes received'
+            ) from error
 
     def close(self) -> None:
         """Close the connection."""
@@ -168,8 +177,9 @@
             self._writer.close()
             self._writer = self._reader = None
 
-    async def _read_response(self, reader: asyncio.StreamReader) -> Response:
-        handler = _ResponseHandler()
+    async def _read_response(
+        self, reader: asyncio.StreamReader, handler: _ResponseHandler
+    ) -> Response:
         while handler.response is None:
             data = await reader.read(_READ_BYTES)
             if not data:
--- a/acaciamoor/platform/polling.py
+++ b/acaciamoor/platform/polling.py
@@ -184,9 +184,7 @@
         except TimeoutError as error:
             if error_class is errors.Unavailable:
                 error_class = errors.TimedOut
-            raise error_class(
-                f'{request.name}: no response within {timeout}'
-            ) from error
+            raise error_class(f'{request.name}: {error}') from error
         except OSError as error:
             raise error_class(f'{request.name}: {error!r}') from error
         finally:
