Show that a large message over a narrow link never arrives (known red)

What callers saw: routes that a configuration 6 s old had removed were still served (inc1). Both tests fail on this code: a message of a relay, and an answer of the store, that take longer than the time limit are discarded although their bytes still arrive.

--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -4,6 +4,7 @@
 import datetime
 import socket
 import unittest
+from unittest import mock
 
 import uvloop
 
@@ -16,6 +17,7 @@
 
 SECOND = datetime.timedelta(seconds=1)
 KIND = builders.KIND
+SILENCE = datetime.timedelta(milliseconds=300)
 
 
 def free_address() -> model.Address:
@@ -108,6 +110,50 @@
         self.assertEqual(0, self.server.listeners)
         writer.close()
 
+    async def test_large_message_arrives_over_a_narrow_link(self):
+        """Guards against a time limit for whole messages (inc1).
+
+        A large configuration over a narrow link takes longer than the
+        silence after which a relay is lost.
+        """
+        update = replica.Update.from_batch(
+            self.source, self.source.changes_since(0), 0 * SECOND
+        )
+        frame = replica.MessageCodec().encode(update)
+
+        async def send_slowly(reader, writer):
+            for offset in range(len(frame)):
+                writer.write(frame[offset : offset + 1])
+                await asyncio.sleep(2 * SILENCE.total_seconds() / len(frame))
+            await reader.read()
+
+        server = await asyncio.start_server(send_slowly, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        self.address = model.Address(*server.sockets[0].getsockname())
+        target = replica.Replica(KIND)
+        with mock.patch.object(relay_link, 'READ_TIMEOUT', SILENCE):
+            messages, task = self.listen('h-1', target)
+            async with asyncio.timeout(10 * SILENCE.total_seconds()):
+                target.apply((await messages.get()).to_batch())
+        self.assertEqual({'a'}, target.names)
+        task.cancel()
+
+    async def test_silence_within_a_message_ends_the_connection(self):
+        """Guards against a relay that hangs in the middle of a message."""
+
+        async def send_a_part(reader, writer):
+            writer.write(b'\0\0\1\0abc')
+            await reader.read()
+
+        server = await asyncio.start_server(send_a_part, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        self.address = model.Address(*server.sockets[0].getsockname())
+        with mock.patch.object(relay_link, 'READ_TIMEOUT', SILENCE):
+            _, task = self.listen('h-1', replica.Replica(KIND))
+            async with asyncio.timeout(10 * SILENCE.total_seconds()):
+                with self.assertRaisesRegex(TimeoutError, '3 of 256 bytes'):
+                    await task
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/acaciamoor/platform/tests/test_polling.py
+++ b/acaciamoor/platform/tests/test_polling.py
@@ -134,6 +134,38 @@
         with self.assertRaises(platform.OutcomeUnknown):
             await transport.write(write)
 
+    async def test_large_response_arrives_over_a_narrow_link(self):
+        """Guards against a time limit for whole responses (inc1).
+
+        A large configuration over a narrow link takes longer than the time
+        after which the store is taken for unresponsive.
+        """
+
+        async def respond_slowly(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n')
+            for _ in range(20):
+                await asyncio.sleep(TIMEOUT.total_seconds() / 10)
+                writer.write(b'a')
+
+        transport = await self.start(respond_slowly)
+        stored = await transport.read('desk', 'a')
+        self.assertEqual('a' * 20, stored.name)
+
+    async def test_silence_within_a_response_ends_the_call(self):
+        """Guards against a store that hangs in the middle of a response."""
+
+        async def respond_partly(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\na')
+            await reader.read()
+            writer.close()
+
+        transport = await self.start(respond_partly)
+        with self.assertRaisesRegex(platform.TimedOut, 'bytes received'):
+            async with asyncio.timeout(10 * TIMEOUT.total_seconds()):
+                await transport.read('desk', 'a')
+
     async def test_connecting_times_out(self):
         """Guards against a long retry delay after a connect timeout."""
         with mock.patch.object(
