Take a host for lost when it is silent, not when its message takes long

Cause: the time limits of 1.6 s for a message of a relay and of 0.8 s for an answer of the store covered all its bytes. A configuration of 735 kB that two relays send over a link of 10 Mbit/s takes 1.2 s, beside an answer of the store 1.8 s. Every time-out discarded what had arrived, the next try began anew and filled the same link, so that narrow hosts never caught up. Class: a limit for a whole transfer whose size has no limit, with repetitions that add to the load. Change: the limits now end silences. A connection that is dead, a store that does not answer, and one that hangs within an answer are noticed after the same times as before.

--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -91,8 +91,10 @@
     ) -> replicas.Message:
         received = length = 0
         chunks = []
+        silence_s = READ_TIMEOUT.total_seconds()
+        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(READ_TIMEOUT.total_seconds()):
+            async with asyncio.timeout(silence_s) as limit:
                 header = await reader.readexactly(self._codec.header_bytes)
                 length = self._codec.decode_length(header)
                 while received < length:
@@ -106,9 +108,12 @@
                         )
                     chunks.append(chunk)
                     received += len(chunk)
+                    # A large message takes long over a narrow link; only
+                    # silence shows that the relay is lost.
+                    limit.reschedule(loop.time() + silence_s)
         except TimeoutError as error:
             raise TimeoutError(
-                f'no message within {READ_TIMEOUT}; {received} of {length} '
-                'bytes received'
+                f'silent for {READ_TIMEOUT}; {received} of {length} bytes of '
+                'a message received'
             ) from error
         return self._codec.decode(b''.join(chunks))
--- a/acaciamoor/platform/connection.py
+++ b/acaciamoor/platform/connection.py
@@ -141,15 +141,29 @@
         )
 
     async def send_request(
-        self, request: bytes, timeout: datetime.timedelta
+        self,
+        request: bytes,
+        timeout: datetime.timedelta,
+        silence_timeout: datetime.timedelta,
     ) -> Response:
         """Send a request and return the response.
 
+        Parameters
+        ----------
+        request : bytes
+            The request.
+        timeout : datetime.timedelta
+            Time until the response begins.
+        silence_timeout : datetime.timedelta
+            Time without data within the response. There is no limit for the
+            whole response: a large one takes long over a narrow link, and a
+            repeated request would start from the beginning.
+
         Raises
         ------
         OSError
-            If the connection breaks, or if the response takes longer than
-            `timeout` or is not HTTP. The request may have taken effect.
+            If the connection breaks, if a timeout passes, or if the response
+            is not HTTP. The request may have taken effect.
         """
         # Writing to a closed transport is an error, so a connection that the
         # platform has closed must be detected before the write.
@@ -161,14 +175,17 @@
             raise ConnectionError('the connection is not open')
         handler = _ResponseHandler()
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
+            async with asyncio.timeout(timeout.total_seconds()) as limit:
                 self._writer.write(request)
                 await self._writer.drain()
-                return await self._read_response(self._reader, handler)
+                return await self._read_response(
+                    self._reader, handler, limit, silence_timeout
+                )
         except TimeoutError as error:
+            silence = silence_timeout if handler.received_bytes else timeout
             raise TimeoutError(
-                f'no complete response within {timeout}; '
-                f'{handler.received_bytes} bytes received'
+                f'silent for {silence}; {handler.received_bytes} bytes of the '
+                'response received'
             ) from error
 
     def close(self) -> None:
@@ -178,8 +195,13 @@
             self._writer = self._reader = None
 
     async def _read_response(
-        self, reader: asyncio.StreamReader, handler: _ResponseHandler
+        self,
+        reader: asyncio.StreamReader,
+        handler: _ResponseHandler,
+        limit: asyncio.Timeout,
+        silence_timeout: datetime.timedelta,
     ) -> Response:
+        loop = asyncio.get_running_loop()
         while handler.response is None:
             data = await reader.read(_READ_BYTES)
             if not data:
@@ -188,6 +210,7 @@
                     'was complete'
                 )
             handler.feed(data)
+            limit.reschedule(loop.time() + silence_timeout.total_seconds())
         return handler.response
 
 
--- a/acaciamoor/platform/polling.py
+++ b/acaciamoor/platform/polling.py
@@ -19,8 +19,8 @@
     Parameters
     ----------
     response_timeout : datetime.timedelta
-        Time to wait for a response, in addition to `poll_timeout` for a
-        long-polling request.
+        Time to wait until a response begins, in addition to `poll_timeout` for
+        a long-polling request, and maximum silence within a response.
     poll_timeout : datetime.timedelta
         Time after which the platform responds to a long-polling request even
         if there are no changes.
@@ -179,7 +179,9 @@
         connection = await self._connect()
         try:
             return await connection.send_request(
-                self._encode(request), timeout
+                self._encode(request),
+                timeout,
+                self._settings.response_timeout,
             )
         except TimeoutError as error:
             if error_class is errors.Unavailable:
