End requests of the product's own transport by silence, not by their duration

Ruled out: the watch (limited by silence already), scrapes of the report and polls of upstreams (small answers whose age matters). Before: test_large_listing_arrives_over_a_narrow_link fails with Unavailable. After: it passes, and silence within a listing still ends the request.

--- a/acaciamoor/platform/http.py
+++ b/acaciamoor/platform/http.py
@@ -34,7 +34,8 @@
     connect : datetime.timedelta
         Timeout of connecting.
     request : datetime.timedelta
-        Total timeout of a request other than a watch.
+        Time without data, before or within the response, after which a
+        request other than a watch is aborted. A large listing may take longer.
     watch_idle : datetime.timedelta
         Time after which a watch that receives neither events nor bookmarks is
         aborted.
@@ -182,8 +183,9 @@
 
 def _client_timeout(timeouts: Timeouts) -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(
-        total=timeouts.request.total_seconds(),
+        total=None,
         sock_connect=timeouts.connect.total_seconds(),
+        sock_read=timeouts.request.total_seconds(),
     )
 
 
