--- a/acaciamoor/forwarder/shell/sources.py
+++ b/acaciamoor/forwarder/shell/sources.py
@@ -189,7 +189,7 @@
                 self._random, limits.INITIAL_BACKOFF, limits.MAX_BACKOFF
             ),
             platform.backoff.sleep,
-            replica.names,
+            whole_listings=True,
         )
         events: list[platform.WatchEvent] = []
         self._calls.add(call=mode.value, kind=replica.kind)
@@ -197,11 +197,13 @@
             if event.event_type is not platform.EventType.BOOKMARK:
                 events.append(event)
                 continue
+            # Other hosts may have objects from after `base` that this one
+            # never had; only a snapshot removes these.
             batch = replicas.Batch(
-                base,
+                0 if event.complete else base,
                 event.version,
                 tuple(events),
-                snapshot=not replica.initialized,
+                snapshot=event.complete,
             )
             self._apply(
                 replica,
--- /dev/null
+++ b/acaciamoor/forwarder/tests/test_sources.py
@@ -0,0 +1,62 @@
+"""Calls to the store that keep a replica up to date."""
+
+import asyncio
+import random
+import unittest
+
+from acaciamoor import clock
+from acaciamoor import platform
+from acaciamoor import replica
+from acaciamoor.forwarder.shell import sources
+from acaciamoor.replica.tests import builders
+from acaciamoor.telemetry import exposition
+
+
+class ExpiredStore:
+    """Transport whose history is gone, with a listing."""
+
+    def __init__(self, listing: platform.Listing) -> None:
+        self._listing = listing
+
+    async def read_all(self, kind, selector=None, stale=False):
+        return self._listing
+
+    async def stream(self, kind, after_version):
+        if after_version != self._listing.version:
+            raise platform.VersionExpired(f'{after_version}')
+        await asyncio.sleep(3600)
+        yield None
+
+
+class StoreSourceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_listing_removes_what_another_host_has_learned_since(self):
+        """Guards against an upstream that is gone and stays at other hosts.
+
+        The history of the store is gone. Another host is ahead of the one
+        that lists the objects: it has `b`, which was removed since.
+        """
+        first = builders.new_replica(5, builders.put('a', 3))
+        ahead = builders.new_replica(
+            7, builders.put('a', 3), builders.put('b', 6)
+        )
+        kept = builders.put('a', 3).stored
+        store = ExpiredStore(platform.Listing(9, (kept,)))
+        batches = asyncio.Queue()
+        source = sources.StoreSource(
+            first,
+            sources.StoreTransports(store, store, store),
+            lambda _, batch, name, confirm: batches.put_nowait(batch),
+            exposition.Counter('calls', 'Calls.'),
+            clock.ManualClock(),
+            random.Random(1),
+        )
+        task = asyncio.create_task(source._run(replica.CallMode.REFRESH))
+        async with asyncio.timeout(10):
+            ahead.apply(await batches.get())
+        self.assertEqual(9, ahead.version)
+        self.assertEqual({'a'}, ahead.names)
+        await task
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/acaciamoor/platform/objects.py
+++ b/acaciamoor/platform/objects.py
@@ -96,11 +96,25 @@
 
 
 class WatchEvent(msgspec.Struct, frozen=True):
-    """One event of a watch; a bookmark has no object."""
+    """One event of a watch; a bookmark has no object.
+
+    Parameters
+    ----------
+    event_type : EventType
+        What happened.
+    version : int
+        Version of the change, or up to which changes were delivered.
+    stored : StoredObject or None
+        Object that was changed.
+    complete : bool
+        For a bookmark, whether the events since the last one are all objects
+        that exist at `version`.
+    """
 
     event_type: EventType
     version: int
     stored: StoredObject | None = None
+    complete: bool = False
 
 
 class Write(msgspec.Struct, frozen=True):
--- a/acaciamoor/platform/watching.py
+++ b/acaciamoor/platform/watching.py
@@ -30,9 +30,11 @@
         Delays between requests.
     sleep : Callable
         Waits for a delay.
-    known_names : iterable of str
-        Names of the objects that the caller has at `after_version`. A listing
-        reports those that it lacks as deleted.
+    whole_listings : bool
+        Whether a listing yields all objects, also those that were delivered
+        before, and ends with a complete bookmark. Otherwise it yields changes
+        only, and reports objects as deleted that this watch has delivered
+        and the listing lacks.
     """
 
     def __init__(
@@ -42,7 +44,7 @@
         after_version: int,
         backoff: backoffs.Backoff,
         sleep: backoffs.Sleep,
-        known_names: collections.abc.Iterable[str] = (),
+        whole_listings: bool = False,
     ) -> None:
         self._transport = transport
         self._kind = kind
@@ -50,7 +52,8 @@
         self._backoff = backoff
         self._sleep = sleep
         self._needs_listing = after_version == 0
-        self._known_names = set(known_names)
+        self._whole_listings = whole_listings
+        self._known_names: set[str] = set()
         self._failures = 0
 
     async def events(self) -> EventIterator:
@@ -104,26 +107,32 @@
                 f'{self._kind}: the listing is older than version '
                 f'{self._version}'
             )
-        seen = self._version
         names = {stored.name for stored in listing.objects}
         for stored in sorted(listing.objects, key=lambda item: item.version):
-            if stored.version > seen:
-                event = objects.WatchEvent(
+            if self._whole_listings or stored.version > self._version:
+                yield objects.WatchEvent(
                     objects.EventType.PUT, stored.version, stored
                 )
-                self._record_event(event)
+        if not self._whole_listings:
+            for event in self._find_deletions(names, listing.version):
                 yield event
-        for name in sorted(self._known_names - names):
-            stored = objects.StoredObject(
-                self._kind, name, listing.version, {}
-            )
-            yield objects.WatchEvent(
-                objects.EventType.DELETED, listing.version, stored
-            )
         self._known_names = names
         self._version = listing.version
         self._needs_listing = False
-        yield objects.WatchEvent(objects.EventType.BOOKMARK, self._version)
+        yield objects.WatchEvent(
+            objects.EventType.BOOKMARK,
+            self._version,
+            complete=self._whole_listings,
+        )
+
+    def _find_deletions(
+        self, names: set[str], version: int
+    ) -> collections.abc.Iterator[objects.WatchEvent]:
+        for name in sorted(self._known_names - names):
+            stored = objects.StoredObject(self._kind, name, version, {})
+            yield objects.WatchEvent(
+                objects.EventType.DELETED, version, stored
+            )
 
     def _record_failure(self, error: errors.StoreError) -> None:
         # Only the first failure and the recovery are logged, so that the log
