Order what the store holds by its era and revision

Cause: hosts ordered the contents of the store by its revision alone. A store that comes back from an older copy gives out revisions again: below the last known one every listing was refused as older; at it another content was confirmed as known; above it only what came later was seen. Class: an order that outlives what it orders; a number is only comparable within one incarnation of its source. Ruled out: Directory.adopt_routes refusing the number (it is never called), backoff after the outage (hosts never recover). Change: a version combines the era, which the store tells with each answer, with the revision, so that all comparisons, batches, confirmations and messages of hosts order both. Hosts of a program without eras are not listened to. The era is logged, and served as a metric.

--- a/acaciamoor/forwarder/shell/adoption.py
+++ b/acaciamoor/forwarder/shell/adoption.py
@@ -10,6 +10,7 @@
 from acaciamoor import replica as replicas
 from acaciamoor.forwarder import core as cores
 from acaciamoor.forwarder import store_schema as schemas
+from acaciamoor.platform import versions
 
 _LOG = logging.getLogger(__name__)
 
@@ -163,7 +164,9 @@
             source,
             extra={
                 'upstreams': ' '.join(stored.name for stored in changed),
-                'version': max(stored.version for stored in changed),
+                'version': versions.format_version(
+                    max(stored.version for stored in changed)
+                ),
             },
         )
         return
@@ -172,5 +175,8 @@
             'upstream is %s, learned from %s',
             state,
             source,
-            extra={'upstream': stored.name, 'version': stored.version},
+            extra={
+                'upstream': stored.name,
+                'version': versions.format_version(stored.version),
+            },
         )
--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -18,6 +18,7 @@
 from acaciamoor.forwarder.shell import relay_links
 from acaciamoor.forwarder.shell import relay_server
 from acaciamoor.forwarder.shell import sources
+from acaciamoor.platform import versions
 from acaciamoor.telemetry import exposition
 
 _LOG = logging.getLogger(__name__)
@@ -106,6 +107,7 @@
         # Number of hosts of the data centre, as others of it say.
         self._local_hosts_by_address: dict[model.Address, int] = {}
         self._last_role = replicas.Role.ALONE
+        self._last_era: int | None = None
 
     async def run(self) -> None:
         """Synchronize until cancelled."""
@@ -183,6 +185,7 @@
     ) -> None:
         base = replica.version
         events = replica.apply(batch)
+        self._record_era(versions.get_era(replica.version), source)
         self._updater.apply(replica, events, source)
         confirmed = confirm()
         if replica.version != base:
@@ -192,6 +195,22 @@
         elif confirmed:
             self._server.pass_on_confirmation()
 
+    def _record_era(self, era: int, source: str) -> None:
+        if self._last_era is not None and era > self._last_era:
+            _LOG.warning(
+                'the store was restored from an older copy: era %d after %d, '
+                'learned from %s',
+                era,
+                self._last_era,
+                source,
+            )
+        self._last_era = max(era, self._last_era or 0)
+
+    @property
+    def store_era(self) -> int:
+        """Era of the newest data from the store; 0 before any arrived."""
+        return self._last_era or 0
+
     async def _send_heartbeats(self) -> None:
         interval = limits.HEARTBEAT_INTERVAL
         while True:
--- a/acaciamoor/forwarder/shell/observer.py
+++ b/acaciamoor/forwarder/shell/observer.py
@@ -8,6 +8,7 @@
 from acaciamoor.forwarder import effects
 from acaciamoor.forwarder import sync_status
 from acaciamoor.openings import pending
+from acaciamoor.platform import versions
 from acaciamoor.telemetry import bounded
 from acaciamoor.telemetry import exposition
 
@@ -183,7 +184,9 @@
             fields['flow'] = flow_name(key)
         status = self._get_sync_status()
         fields['routes_version'] = status.routes_version
-        fields['upstreams_version'] = status.upstreams_version
+        fields['upstreams_version'] = versions.format_version(
+            status.upstreams_version
+        )
         fields['age_ms'] = status.age_ms
         _LOG.info(message, extra=fields)
 
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -243,6 +243,11 @@
                 'below zero if it never did.',
                 lambda: status.age_ms / 1000,
             ),
+            exposition.Gauge(
+                'acaciamoor_forwarder_store_era',
+                'How often the store has come back from an older copy.',
+                lambda: self._synchronizer.store_era,
+            ),
             exposition.Gauge(
                 'acaciamoor_forwarder_upstreams',
                 'Upstreams that the store lists.',
--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -84,6 +84,7 @@
             },
             replicas.PeerState.from_peer(self._own),
             self._reported_listeners,
+            replicas.PROTOCOL,
         )
 
     async def _read_message(
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -223,6 +223,11 @@
             raise replicas.MessageError(
                 f'{type(message).__name__} received before Hello'
             )
+        if message.protocol != replicas.PROTOCOL:
+            raise replicas.MessageError(
+                f'host {message.host_id!r} uses protocol {message.protocol} '
+                f'instead of {replicas.PROTOCOL}'
+            )
         return message
 
     def _register_listener(
--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -110,6 +110,21 @@
         self.assertEqual(0, self.server.listeners)
         writer.close()
 
+    async def test_client_of_another_protocol_is_disconnected(self):
+        """Guards against versions with an era at hosts that know no eras.
+
+        Such a host would ask the store for changes after a revision that
+        does not exist, and take all listings for older ones.
+        """
+        reader, writer = await asyncio.open_connection(
+            self.address.ip, self.address.port
+        )
+        hello = replica.Hello('h-1', {KIND: 3})
+        writer.write(replica.MessageCodec().encode(hello))
+        self.assertEqual(b'', await reader.read(100))
+        self.assertEqual(0, self.server.listeners)
+        writer.close()
+
     async def test_large_message_arrives_over_a_narrow_link(self):
         """Guards against a time limit for whole messages (inc1).
 
--- a/acaciamoor/platform/connection.py
+++ b/acaciamoor/platform/connection.py
@@ -45,10 +45,10 @@
 
 
 class Response(msgspec.Struct, frozen=True):
-    """HTTP response."""
+    """HTTP response; the names of the headers are in lower case."""
 
     status: int
-    retry_after: str
+    headers_by_name: dict[str, str]
     body: bytes
 
     @property
@@ -66,7 +66,7 @@
     def __init__(self) -> None:
         self.response: Response | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._retry_after = ''
+        self._headers_by_name: dict[str, str] = {}
         self._chunks: list[bytes] = []
         self.received_bytes = 0
 
@@ -88,8 +88,8 @@
                 ) from error
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b'retry-after':
-            self._retry_after = value.decode('latin-1')
+        key = name.decode('latin-1').lower()
+        self._headers_by_name[key] = value.decode('latin-1')
 
     def on_body(self, data: bytes) -> None:
         self._chunks.append(data)
@@ -98,7 +98,7 @@
         if self.response is None:
             self.response = Response(
                 self._parser.get_status_code(),
-                self._retry_after,
+                self._headers_by_name,
                 b''.join(self._chunks),
             )
 
--- a/acaciamoor/platform/dialect.py
+++ b/acaciamoor/platform/dialect.py
@@ -65,9 +65,14 @@
     """Encoding of requests and decoding of responses of an object API.
 
     The decoding methods raise ValueError for a malformed response. They skip
-    malformed objects, which other writers may have stored.
+    malformed objects, which other writers may have stored. The versions that
+    they return are those of `era`.
     """
 
+    # Response header that tells the era, in lower case; empty if the platform
+    # has none. See `acaciamoor.platform.versions`.
+    era_header: str
+
     def read(self, kind: str, name: str) -> Request:
         """Return the request that reads an object."""
 
@@ -89,13 +94,15 @@
     def remove(self, kind: str, name: str, expected_version: int) -> Request:
         """Return the request that deletes an object."""
 
-    def decode_stored(self, kind: str, body: bytes) -> objects.StoredObject:
+    def decode_stored(
+        self, kind: str, body: bytes, era: int
+    ) -> objects.StoredObject:
         """Return the object that a response holds."""
 
-    def decode_page(self, kind: str, body: bytes) -> Page:
+    def decode_page(self, kind: str, body: bytes, era: int) -> Page:
         """Return the page that a response holds."""
 
-    def decode_changes(self, kind: str, body: bytes) -> Changes:
+    def decode_changes(self, kind: str, body: bytes, era: int) -> Changes:
         """Return the changes that a response holds."""
 
 
--- a/acaciamoor/platform/polling.py
+++ b/acaciamoor/platform/polling.py
@@ -11,6 +11,7 @@
 from acaciamoor.platform import errors
 from acaciamoor.platform import objects
 from acaciamoor.platform import statuses
+from acaciamoor.platform import versions
 
 
 class LongPollSettings(msgspec.Struct, frozen=True):
@@ -69,8 +70,8 @@
 
     async def read(self, kind: str, name: str) -> objects.StoredObject:
         """Return an object."""
-        body = await self._read(self._dialect.read(kind, name))
-        return _decode_response(self._dialect.decode_stored, kind, body)
+        response = await self._read(self._dialect.read(kind, name))
+        return self._decode(self._dialect.decode_stored, kind, response)
 
     async def read_all(
         self,
@@ -89,9 +90,13 @@
         continue_after = ''
         while version is None or continue_after:
             request = self._dialect.read_page(kind, continue_after, stale)
-            body = await self._read(request)
-            page = _decode_response(self._dialect.decode_page, kind, body)
+            response = await self._read(request)
+            page = self._decode(self._dialect.decode_page, kind, response)
             version = page.version if version is None else version
+            if versions.get_era(page.version) != versions.get_era(version):
+                raise errors.Unavailable(
+                    'the platform was restored between two pages'
+                )
             found.extend(page.objects)
             continue_after = page.continue_after
         return objects.Listing(
@@ -105,9 +110,11 @@
 
     async def write(self, write: objects.Write) -> objects.StoredObject:
         """Store a value if the condition of `write` holds."""
-        body = await self._write(self._dialect.write(write))
+        response = await self._write(self._dialect.write(write))
         try:
-            return self._dialect.decode_stored(write.kind, body)
+            return self._dialect.decode_stored(
+                write.kind, response.body, self._parse_era(response)
+            )
         except ValueError as error:
             raise errors.OutcomeUnknown(f'malformed response: {error}') from (
                 error
@@ -122,13 +129,22 @@
     async def stream(
         self, kind: str, after_version: int
     ) -> collections.abc.AsyncIterator[objects.WatchEvent]:
-        """Yield the changes of one long-polling request, then a bookmark."""
+        """Yield the changes of one long-polling request, then a bookmark.
+
+        Raises
+        ------
+        VersionExpired
+            If the changes after `after_version` are no longer retained, or the
+            platform was restored since.
+        """
         settings = self._settings
         request = self._dialect.wait(
             kind, after_version, settings.poll_timeout
         )
-        body = await self._read(request, settings.poll_timeout)
-        changes = _decode_response(self._dialect.decode_changes, kind, body)
+        response = await self._read(
+            request, settings.poll_timeout, versions.get_era(after_version)
+        )
+        changes = self._decode(self._dialect.decode_changes, kind, response)
         for event in changes.events:
             yield event
         yield objects.WatchEvent(
@@ -139,22 +155,65 @@
         self,
         request: dialects.Request,
         poll_timeout: datetime.timedelta = datetime.timedelta(0),
-    ) -> bytes:
+        era: int | None = None,
+    ) -> connections.Response:
         response = await self._send_request(
             request,
             poll_timeout + self._settings.response_timeout,
             errors.Unavailable,
         )
-        return _checked_body(response, request, errors.Unavailable)
+        if era is not None:
+            self._check_era(response, era)
+        _raise_for_status(response, request, errors.Unavailable)
+        return response
+
+    def _check_era(self, response: connections.Response, era: int) -> None:
+        """Raise an error unless the platform is in `era`.
+
+        In another era, the version that a request asked for stands for other
+        contents.
+        """
+        try:
+            current = self._parse_era(response)
+        except ValueError as error:
+            raise errors.Unavailable(f'malformed response: {error}') from error
+        if current > era:
+            raise errors.VersionExpired(
+                f'the platform was restored: era {current} after {era}'
+            )
+        if current < era and response.successful:
+            raise errors.Unavailable(
+                f'response of era {current}, which ended before era {era}'
+            )
+
+    def _parse_era(self, response: connections.Response) -> int:
+        text = response.headers_by_name.get(self._dialect.era_header, '')
+        if not text:
+            return 0
+        if not text.isdecimal() or int(text) > versions.MAX_ERA:
+            raise ValueError(f'malformed era {text[:40]!r}')
+        return int(text)
+
+    def _decode(
+        self,
+        decode: collections.abc.Callable,
+        kind: str,
+        response: connections.Response,
+    ) -> object:
+        try:
+            return decode(kind, response.body, self._parse_era(response))
+        except ValueError as error:
+            raise errors.Unavailable(f'malformed response: {error}') from error
 
-    async def _write(self, request: dialects.Request) -> bytes:
+    async def _write(self, request: dialects.Request) -> connections.Response:
         response = await self._send_request(
             request, self._settings.response_timeout, errors.OutcomeUnknown
         )
         # Statuses 503 and 429 guarantee that the write had no effect.
         if response.status == 503:
             raise errors.Unavailable(request.name)
-        return _checked_body(response, request, errors.OutcomeUnknown)
+        _raise_for_status(response, request, errors.OutcomeUnknown)
+        return response
 
     async def _connect(self) -> connections.HttpConnection:
         connection = connections.HttpConnection(
@@ -205,23 +264,17 @@
         return headers.encode() + b'\r\n' + request.body
 
 
-def _checked_body(
+def _raise_for_status(
     response: connections.Response,
     request: dialects.Request,
     error_class: type[errors.StoreError],
-) -> bytes:
+) -> None:
     if response.successful:
-        return response.body
-    text = response.body[:200].decode(errors='replace')
+        return
     raise statuses.error_from_status(
-        response.status, request.name, text, response.retry_after, error_class
+        response.status,
+        request.name,
+        response.body[:200].decode(errors='replace'),
+        response.headers_by_name.get('retry-after', ''),
+        error_class,
     )
-
-
-def _decode_response(
-    decode: collections.abc.Callable, kind: str, body: bytes
-) -> object:
-    try:
-        return decode(kind, body)
-    except ValueError as error:
-        raise errors.Unavailable(f'malformed response: {error}') from error
--- a/acaciamoor/platform/tests/test_polling.py
+++ b/acaciamoor/platform/tests/test_polling.py
@@ -12,6 +12,7 @@
 from acaciamoor.platform import connection
 from acaciamoor.platform import dialect
 from acaciamoor.platform import polling
+from acaciamoor.platform import versions
 
 OK_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
 TIMEOUT = datetime.timedelta(milliseconds=100)
@@ -20,15 +21,30 @@
 class StubDialect:
     """Minimal requests; the body of a response becomes an object's name."""
 
+    era_header = 'store-era'
+
     def read(self, kind, name):
         return dialect.Request('GET', f'/{kind}/{name}', name)
 
     def write(self, write):
         return dialect.Request('PUT', f'/{write.kind}', write.name, b'{}')
 
-    def decode_stored(self, kind, body):
+    def wait(self, kind, after_version, wait):
+        return dialect.Request('GET', f'/{kind}?watch', kind)
+
+    def read_page(self, kind, after, stale):
+        return dialect.Request('GET', f'/{kind}', kind)
+
+    def decode_stored(self, kind, body, era):
         return platform.StoredObject(kind, body.decode(), 1, {})
 
+    def decode_changes(self, kind, body, era):
+        return dialect.Changes(versions.make_version(era, int(body)), ())
+
+    def decode_page(self, kind, body, era):
+        version = versions.make_version(era, int(body))
+        return dialect.Page(version, (), 'a' if int(body) == 1 else '')
+
 
 class LongPollTransportTest(unittest.IsolatedAsyncioTestCase):
     @classmethod
@@ -210,6 +226,75 @@
         with self.assertRaises(platform.Unavailable):
             await transport.read('desk', 'a')
 
+    async def respond_in_eras(self, *answers) -> polling.LongPollTransport:
+        """Return a transport to a platform with an era for each answer."""
+        remaining = list(answers)
+
+        async def respond(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            era, status, body = remaining.pop(0)
+            writer.write(
+                b'HTTP/1.1 %d x\r\nStore-Era: %s\r\nContent-Length: %d\r\n'
+                b'\r\n%s' % (status, era, len(body), body)
+            )
+
+        return await self.start(respond)
+
+    async def stream_versions(self, transport, after_version) -> list[int]:
+        """Return the versions of the events of one call for changes."""
+        return [
+            event.version
+            async for event in transport.stream('desk', after_version)
+        ]
+
+    async def test_revision_of_a_restored_platform_is_another_version(self):
+        """Guards against a revision that is taken for an earlier one.
+
+        The restored platform gives out revisions again, so that a watch may
+        succeed although its revision stands for other contents.
+        """
+        for revision in (b'4', b'5', b'6'):
+            transport = await self.respond_in_eras((b'2', 200, revision))
+            with (
+                self.subTest(revision=revision),
+                self.assertRaises(platform.VersionExpired),
+            ):
+                await self.stream_versions(
+                    transport, versions.make_version(1, 5)
+                )
+
+    async def test_watch_goes_on_within_an_era(self):
+        """Guards against listings while the platform was not restored."""
+        transport = await self.respond_in_eras((b'2', 200, b'6'))
+        self.assertEqual(
+            [versions.make_version(2, 6)],
+            await self.stream_versions(transport, versions.make_version(2, 5)),
+        )
+
+    async def test_response_of_an_earlier_era_is_refused(self):
+        """Guards against a late response that reverts newer data."""
+        transport = await self.respond_in_eras((b'1', 200, b'9'))
+        with self.assertRaises(platform.Unavailable):
+            await self.stream_versions(transport, versions.make_version(2, 5))
+
+    async def test_malformed_era_is_refused(self):
+        """Guards against versions that no message can carry."""
+        for era in (b'x', b'-1', b'9' * 30):
+            transport = await self.respond_in_eras((era, 200, b'9'))
+            with (
+                self.subTest(era=era),
+                self.assertRaises(platform.Unavailable),
+            ):
+                await self.stream_versions(transport, 5)
+
+    async def test_listing_does_not_mix_two_eras(self):
+        """Guards against a listing of which one half is from an old copy."""
+        transport = await self.respond_in_eras(
+            (b'1', 200, b'1'), (b'2', 200, b'2')
+        )
+        with self.assertRaises(platform.Unavailable):
+            await transport.read_all('desk')
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/acaciamoor/platform/watching.py
+++ b/acaciamoor/platform/watching.py
@@ -6,6 +6,7 @@
 from acaciamoor.platform import backoff as backoffs
 from acaciamoor.platform import errors
 from acaciamoor.platform import objects
+from acaciamoor.platform import versions
 
 _LOG = logging.getLogger(__name__)
 EventIterator = collections.abc.AsyncIterator[objects.WatchEvent]
@@ -69,12 +70,13 @@
                     yield event
                 if not self._needs_listing:
                     await self._sleep(self._backoff.next_delay())
-            except errors.VersionExpired:
+            except errors.VersionExpired as error:
                 _LOG.info(
-                    'watch of %s: changes after version %d are no longer '
-                    'retained; listing all objects',
+                    'watch of %s cannot resume after version %s, listing all '
+                    'objects: %s',
                     self._kind,
-                    self._version,
+                    versions.format_version(self._version),
+                    error or 'its changes are no longer retained',
                 )
                 self._needs_listing = True
                 # The platform responds, so a backoff from an outage ends.
@@ -105,7 +107,7 @@
         if listing.version < self._version:
             raise errors.Unavailable(
                 f'{self._kind}: the listing is older than version '
-                f'{self._version}'
+                f'{versions.format_version(self._version)}'
             )
         names = {stored.name for stored in listing.objects}
         for stored in sorted(listing.objects, key=lambda item: item.version):
@@ -139,9 +141,9 @@
         # volume does not grow with the number of retries.
         if not self._failures:
             _LOG.warning(
-                'watch of %s failed at version %d: %r',
+                'watch of %s failed at version %s: %r',
                 self._kind,
-                self._version,
+                versions.format_version(self._version),
                 error,
             )
         self._failures += 1
@@ -150,9 +152,9 @@
         self._backoff.reset()
         if self._failures:
             _LOG.info(
-                'watch of %s is back at version %d after %d failures',
+                'watch of %s is back at version %s after %d failures',
                 self._kind,
-                self._version,
+                versions.format_version(self._version),
                 self._failures,
             )
         self._failures = 0
--- a/acaciamoor/replica/__init__.py
+++ b/acaciamoor/replica/__init__.py
@@ -12,6 +12,7 @@
 from acaciamoor.replica.messages import Peers
 from acaciamoor.replica.messages import PeerState
 from acaciamoor.replica.messages import Progress
+from acaciamoor.replica.messages import PROTOCOL
 from acaciamoor.replica.messages import Update
 from acaciamoor.replica.peers import Peer
 from acaciamoor.replica.peers import PeerList
@@ -21,6 +22,7 @@
 from acaciamoor.replica.replica import Replica
 
 __all__ = [
+    'PROTOCOL',
     'AgeLimits',
     'Batch',
     'Beat',
--- a/acaciamoor/replica/messages.py
+++ b/acaciamoor/replica/messages.py
@@ -19,6 +19,9 @@
 from acaciamoor.replica import replica as replicas
 
 _LENGTH = struct.Struct('!I')
+# Version of the messages and of what their fields mean. Hosts of another one
+# call the store themselves.
+PROTOCOL = 2
 # Many times the present size of a whole collection.
 MAX_MESSAGE_BYTES = 16 << 20
 # Messages above this size are compressed, to about an eighth. Hosts that start
@@ -93,6 +96,8 @@
     peer: PeerState | None = None
     # Hosts of its data centre that listen to it.
     listeners: int = 0
+    # 0 from hosts whose versions have no era.
+    protocol: int = 0
 
 
 class Peers(msgspec.Struct, tag=True, frozen=True):
