Order entries of a restored store by what the upstreams say of themselves

Cause: the copy holds entries from before a drain, at versions of the new era, which are above those of the drain. The version orders what the store held when, not what an upstream said when. Ruled out: keeping every entry across eras, which would lose upstreams that started anew; refusing entries of upstreams that are gone, which would lose those whose entries lapsed and came back. Change: across eras an entry is older if its process started earlier, or numbered it lower. Entries that say nothing new are no change, so that upstreams do not warm up again after each listing.

--- a/acaciamoor/directory/directory.py
+++ b/acaciamoor/directory/directory.py
@@ -100,16 +100,17 @@
         return True
 
     def put_upstream(self, entry: upstreams.UpstreamEntry) -> bool:
-        """Add or replace an entry; False if the present one is newer."""
+        """Add or replace an entry; False if it says nothing new."""
         current = self._entries_by_id.get(entry.upstream_id)
         removed = self._removed_by_id.get(entry.upstream_id)
-        if current is None and removed is not None:
-            current = removed.entry
-        if current is not None and entry.revision < current.revision:
+        known = removed.entry if current is None and removed else current
+        if known is not None and entry.is_older_than(known):
             return False
         self._removed_by_id.pop(entry.upstream_id, None)
         self._entries_by_id[entry.upstream_id] = entry
-        self._invalidate_caches(current is None)
+        if current is not None and entry.states_same_as(current):
+            return False
+        self._invalidate_caches(known is None)
         return True
 
     def remove_upstream(
--- a/acaciamoor/directory/tests/builders.py
+++ b/acaciamoor/directory/tests/builders.py
@@ -9,6 +9,7 @@
 ADDRESS = (0xC6120001, 443)
 SERVICE = 'order-desk'
 SECOND = datetime.timedelta(seconds=1)
+STARTED_AT = datetime.datetime(2026, 4, 17, tzinfo=datetime.UTC)
 
 
 def upstream_entry(
@@ -20,6 +21,8 @@
     draining: bool = False,
     port: int = 8080,
     slots: int = 2,
+    sequence: int = 0,
+    started_at: datetime.datetime = STARTED_AT,
 ) -> directory.UpstreamEntry:
     """Return the entry of an upstream."""
     state = (
@@ -38,6 +41,8 @@
         service=service,
         wire_id=zlib.crc32(name.encode()) + 1,
         revision=revision,
+        started_at=started_at,
+        sequence=sequence,
     )
 
 
--- a/acaciamoor/directory/tests/test_directory.py
+++ b/acaciamoor/directory/tests/test_directory.py
@@ -5,6 +5,7 @@
 from acaciamoor import directory
 from acaciamoor import tokens
 from acaciamoor.directory.tests import builders
+from acaciamoor.platform import versions
 
 SECOND = builders.SECOND
 ADDRESS = builders.ADDRESS
@@ -133,5 +134,68 @@
         )
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """The store comes back from an older copy, in its second era."""
+
+    def put(self, routing, name, **fields) -> bool:
+        """Put an entry of the copy; return whether it is used."""
+        revision = versions.make_version(2, 1)
+        return routing.put_upstream(
+            builders.upstream_entry(name, revision, **fields)
+        )
+
+    def make_directory(self, **fields) -> directory.Directory:
+        """Return a directory from the first era."""
+        revision = versions.make_version(1, 9)
+        return builders.new_directory(
+            builders.upstream_entry('desk-1', revision, sequence=5, **fields)
+        )
+
+    def test_copy_does_not_revert_a_drain(self):
+        """Guards against new flows at an upstream that has said it leaves."""
+        routing = self.make_directory(draining=True)
+        self.assertFalse(self.put(routing, 'desk-1', sequence=4))
+        self.assertEqual((), routing.candidates(builders.SERVICE, 0 * SECOND))
+
+    def test_copy_does_not_bring_back_an_upstream_that_has_left(self):
+        """Guards against new flows at an address that is used again."""
+        routing = self.make_directory(draining=True)
+        routing.remove_upstream('desk-1', 1 * SECOND)
+        self.assertFalse(self.put(routing, 'desk-1', sequence=4))
+        self.assertEqual((), routing.candidates(builders.SERVICE, 2 * SECOND))
+
+    def test_upstream_that_registers_again_is_used(self):
+        """Guards against losing upstreams whose entries were lost."""
+        routing = self.make_directory()
+        routing.remove_upstream('desk-1', 1 * SECOND)
+        self.assertTrue(self.put(routing, 'desk-1', sequence=5))
+        found = routing.candidates(builders.SERVICE, 1 * SECOND)
+        self.assertEqual(['desk-1'], names(found))
+
+    def test_upstream_that_started_again_is_used(self):
+        """Guards against comparing the numbers of two processes."""
+        routing = self.make_directory(draining=True)
+        restarted_at = builders.STARTED_AT + 60 * SECOND
+        self.assertTrue(
+            self.put(routing, 'desk-1', sequence=1, started_at=restarted_at)
+        )
+        found = routing.candidates(builders.SERVICE, 0 * SECOND)
+        self.assertEqual(['desk-1'], names(found))
+
+    def test_copy_of_a_known_entry_is_no_change(self):
+        """Guards against upstreams that warm up again without a restart."""
+        routing = self.make_directory()
+        self.assertFalse(self.put(routing, 'desk-1', sequence=5))
+        # Entries of the second era are ordered by their revision again.
+        revision = versions.make_version(2, 2)
+        self.assertTrue(
+            routing.put_upstream(
+                builders.upstream_entry(
+                    'desk-1', revision, sequence=6, draining=True
+                )
+            )
+        )
+
+
 if __name__ == '__main__':
     unittest.main()
