Choose the ports of hosts in tests outside the range of the system; fail with the error of a host

Cause: its 16 ports were free when they were chosen, from the range that the system gives to outgoing connections; a host that started before took one. Change: all tests take ports below that range, with the allocator that test processes use; a host that ends early now fails its test with its error, which is stricter.

--- a/acaciamoor/demo/site.py
+++ b/acaciamoor/demo/site.py
@@ -42,6 +42,14 @@
         self._sockets.close()
 
 
+def find_free_address() -> model.Address:
+    """Return an address that no process uses, nor will get by chance."""
+    ports = PortAllocator()
+    address = ports.allocate_address()
+    ports.release()
+    return address
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BalancerAddresses:
     """Addresses that one balancer listens on."""
--- a/acaciamoor/forwarder/tests/test_data_centre.py
+++ b/acaciamoor/forwarder/tests/test_data_centre.py
@@ -11,6 +11,7 @@
 from acaciamoor import model
 from acaciamoor import platform
 from acaciamoor import replica
+from acaciamoor.demo import site
 from acaciamoor.forwarder.shell import following as followings
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import relay_server
@@ -144,7 +145,7 @@
     def add_hosts(self, count, link_mbps=0.0, data_centre='kgn-a'):
         """Add hosts to a data centre."""
         for _ in range(count):
-            address = test_relay.free_address()
+            address = site.find_free_address()
             host_id = model.HostId(f'host-{len(self.store.peers)}')
             self.store.peers.append(
                 replica.Peer(host_id, data_centre, address, link_mbps)
@@ -189,9 +190,11 @@
         self.addAsyncCleanup(self.stop, task)
 
     async def stop(self, task):
-        """Stop a host."""
+        """Stop a host; fail with its error if it has ended before."""
         task.cancel()
         await asyncio.wait([task])
+        if not task.cancelled():
+            task.result()
 
     async def wait_for_all(self, name: str) -> None:
         """Wait until all hosts have an object; fail after the change bound."""
--- a/acaciamoor/forwarder/tests/test_following.py
+++ b/acaciamoor/forwarder/tests/test_following.py
@@ -11,10 +11,10 @@
 from acaciamoor import model
 from acaciamoor import platform
 from acaciamoor import replica
+from acaciamoor.demo import site
 from acaciamoor.forwarder.shell import following as followings
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import sources
-from acaciamoor.forwarder.tests import test_relay
 
 SECOND = datetime.timedelta(seconds=1)
 ROUTES = 'routes'
@@ -104,7 +104,7 @@
 
     def start(self, store, seeds=()):
         """Start a host; return its recording updater and its address."""
-        address = test_relay.free_address()
+        address = site.find_free_address()
         own = replica.Peer(model.HostId(str(address)), 'kgn-a', address)
         updater = RecordingUpdater()
         synchronizer = followings.StoreSynchronizer(
@@ -154,7 +154,7 @@
         """Guards against a task that ends after a refused connection."""
         store = Store()
         store.down = True
-        updater, _ = self.start(store, [test_relay.free_address()])
+        updater, _ = self.start(store, [site.find_free_address()])
         await asyncio.sleep(0.3)
         store.down = False
         await asyncio.wait_for(updater.wait_for('routes-first'), 10)
--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import socket
 import unittest
 from unittest import mock
 
@@ -11,6 +10,7 @@
 from acaciamoor import clock
 from acaciamoor import model
 from acaciamoor import replica
+from acaciamoor.demo import site
 from acaciamoor.forwarder.shell import relay_link
 from acaciamoor.forwarder.shell import relay_server
 from acaciamoor.replica.tests import builders
@@ -20,13 +20,6 @@
 SILENCE = datetime.timedelta(milliseconds=300)
 
 
-def free_address() -> model.Address:
-    """Return an unused loopback address."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return model.Address(*probe.getsockname())
-
-
 class UvloopTestCase(unittest.IsolatedAsyncioTestCase):
     """Test case that runs on uvloop, as the forwarder does."""
 
@@ -41,7 +34,7 @@
 class RelayTest(UvloopTestCase):
     async def asyncSetUp(self):
         self.source = builders.new_replica(5, builders.put('a', 3, x=1))
-        self.address = free_address()
+        self.address = site.find_free_address()
         own = replica.Peer('relay', 'kgn-a', self.address)
         self.server = relay_server.RelayServer(
             own,
--- a/acaciamoor/standins/platform/tests/test_server.py
+++ b/acaciamoor/standins/platform/tests/test_server.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import datetime
-import socket
 import unittest
 
 import aiohttp
 
-from acaciamoor import model
 from acaciamoor import platform
+from acaciamoor.demo import site
 from acaciamoor.standins import platform as standin
 
 KIND = 'services'
@@ -18,11 +17,6 @@
 )
 
 
-def find_free_address() -> model.Address:
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        return model.Address(*server.getsockname())
-
-
 async def wait_until(condition) -> None:
     """Wait until `condition` holds; the timeout only ends a hung test."""
     async with asyncio.timeout(60):
@@ -33,7 +27,7 @@
 class PlatformServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.server = standin.PlatformServer(bookmark_interval_s=0.05)
-        address = find_free_address()
+        address = site.find_free_address()
         await self.server.start(address)
         self.addAsyncCleanup(self.server.stop)
         self.url = f'http://{address}'
--- a/acaciamoor/telemetry/tests/test_telemetry.py
+++ b/acaciamoor/telemetry/tests/test_telemetry.py
@@ -3,24 +3,18 @@
 import io
 import json
 import logging
-import socket
 import unittest
 import urllib.request
 
-from acaciamoor import model
 from acaciamoor import settings
 from acaciamoor import telemetry
+from acaciamoor.demo import site
 
 IDENTITY = telemetry.ProcessIdentity(
     'demo', data_centre='kgn-a', host='entry-1'
 )
 
 
-def free_port() -> int:
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        return server.getsockname()[1]
-
-
 class LogsTest(unittest.TestCase):
     def test_json_line_has_identity_and_extra_fields(self):
         """Guards against log lines that cannot be attributed to a flow."""
@@ -53,7 +47,7 @@
 class MetricsTest(unittest.TestCase):
     def test_endpoint_exposes_counter_with_its_labels(self):
         """Guards against an endpoint that exposes the wrong registry."""
-        address = model.Address('127.0.0.1', free_port())
+        address = site.find_free_address()
         with telemetry.MetricsEndpoint(IDENTITY, address) as endpoint:
             counter = endpoint.meter('demo').create_counter('demo_flows')
             counter.add(2, {'service': 'desk'})
