--- a/acaciamoor/replica/__init__.py
+++ b/acaciamoor/replica/__init__.py
@@ -6,6 +6,7 @@
 from acaciamoor.replica.call_modes import select_call_mode
 from acaciamoor.replica.messages import Beat
 from acaciamoor.replica.messages import Hello
+from acaciamoor.replica.messages import MAX_LINK_MBPS
 from acaciamoor.replica.messages import Message
 from acaciamoor.replica.messages import MessageCodec
 from acaciamoor.replica.messages import MessageError
@@ -22,6 +23,7 @@
 from acaciamoor.replica.replica import Replica
 
 __all__ = [
+    'MAX_LINK_MBPS',
     'PROTOCOL',
     'AgeLimits',
     'Batch',
--- a/acaciamoor/replica/messages.py
+++ b/acaciamoor/replica/messages.py
@@ -30,7 +30,7 @@
 _COMPRESSION_LEVEL = 1
 _SECOND = datetime.timedelta(seconds=1)
 # Terabit links do not exist yet; a wider one is an error.
-_MAX_LINK_MBPS = 1e6
+MAX_LINK_MBPS = 1e6
 # Ages above a year are errors.
 _MAX_AGE_S = 366 * 86400
 
@@ -60,7 +60,7 @@
         )
 
     def __post_init__(self) -> None:
-        if not 0 <= self.link_mbps <= _MAX_LINK_MBPS:
+        if not 0 <= self.link_mbps <= MAX_LINK_MBPS:
             raise ValueError(f'bandwidth {self.link_mbps} is out of range')
 
     def to_peer(self) -> peer_lists.Peer:
