Keep the time limit of a call for responses whose headers come early; word the time-outs

A store may send the headers of a long poll at once and the body when there are changes. The limit of silence then must not end the call before the time that it asks for.

--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -113,8 +113,8 @@
                     # silence shows that the relay is lost.
                     limit.reschedule(loop.time() + silence_s)
         except TimeoutError as error:
-            raise TimeoutError(
-                f'silent for {READ_TIMEOUT}; {received} of {length} bytes of '
-                'a message received'
-            ) from error
+            progress = f' after {received} of {length} bytes' if length else ''
+            raise TimeoutError(f'silent for {READ_TIMEOUT}{progress}') from (
+                error
+            )
         return self._codec.decode(b''.join(chunks))
--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -159,7 +159,9 @@
         with mock.patch.object(relay_link, 'READ_TIMEOUT', SILENCE):
             _, task = self.listen('h-1', replica.Replica(KIND))
             async with asyncio.timeout(10 * SILENCE.total_seconds()):
-                with self.assertRaisesRegex(TimeoutError, '3 of 256 bytes'):
+                with self.assertRaisesRegex(
+                    TimeoutError, 'after 3 of 256 bytes'
+                ):
                     await task
 
 
--- a/acaciamoor/platform/connection.py
+++ b/acaciamoor/platform/connection.py
@@ -153,11 +153,11 @@
         request : bytes
             The request.
         timeout : datetime.timedelta
-            Time until the response begins.
+            Time until the response is complete, unless data still arrives.
         silence_timeout : datetime.timedelta
-            Time without data within the response. There is no limit for the
-            whole response: a large one takes long over a narrow link, and a
-            repeated request would start from the beginning.
+            Time without data after which a response that takes longer than
+            `timeout` has failed. A large one takes long over a narrow link,
+            and a repeated request would start from the beginning.
 
         Raises
         ------
@@ -182,10 +182,9 @@
                     self._reader, handler, limit, silence_timeout
                 )
         except TimeoutError as error:
-            silence = silence_timeout if handler.received_bytes else timeout
             raise TimeoutError(
-                f'silent for {silence}; {handler.received_bytes} bytes of the '
-                'response received'
+                f'no complete response within {timeout}; '
+                f'{handler.received_bytes} bytes of the response received'
             ) from error
 
     def close(self) -> None:
@@ -210,7 +209,8 @@
                     'was complete'
                 )
             handler.feed(data)
-            limit.reschedule(loop.time() + silence_timeout.total_seconds())
+            silent_at = loop.time() + silence_timeout.total_seconds()
+            limit.reschedule(max(limit.when() or 0.0, silent_at))
         return handler.response
 
 
--- a/acaciamoor/platform/polling.py
+++ b/acaciamoor/platform/polling.py
@@ -20,8 +20,9 @@
     Parameters
     ----------
     response_timeout : datetime.timedelta
-        Time to wait until a response begins, in addition to `poll_timeout` for
-        a long-polling request, and maximum silence within a response.
+        Time to wait for a response, in addition to `poll_timeout` for a
+        long-polling request; a response that takes longer may be silent for as
+        long.
     poll_timeout : datetime.timedelta
         Time after which the platform responds to a long-polling request even
         if there are no changes.
--- a/acaciamoor/platform/watching.py
+++ b/acaciamoor/platform/watching.py
@@ -17,7 +17,8 @@
 
     A lagging replica of the platform may repeat delivered changes in a
     resumed watch, or return an outdated listing. Both are dropped, so the
-    versions of the delivered events never decrease.
+    versions of the delivered bookmarks never decrease, nor do those of other
+    events unless listings are delivered whole.
 
     Parameters
     ----------
