Date confirmations by the time before their transfer

What callers would see: a host that takes old lists for fresh ones while they arrive over a slow path, and so misses a drain or a configuration (found by reading, after the time limits of whole transfers went). Cause: a confirmation was dated by the end of its message. The time on the way was below 0.8 s and 1.6 s while the limits covered whole messages; now a large one may take longer. Change: what the store or a relay states is as old as the transfer of the answer or message, at least. Before: test_slow_response_is_as_old_as_its_transfer fails (no such time). After: it passes.

--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -273,33 +273,37 @@
         self._stop_waiting_for_seeds()
 
     def _on_message(
-        self, peer: replicas.Peer, message: replicas.Message
+        self,
+        peer: replicas.Peer,
+        message: replicas.Message,
+        transfer_time: datetime.timedelta,
     ) -> None:
-        now = self._clock.monotonic()
+        # Ages in the message are those of the time at which it was sent.
+        sent_at = self._clock.monotonic() - transfer_time
         self._peers.mark_reachable(peer.host_id)
-        _handle_message(message, self, peer, now)
+        _handle_message(message, self, peer, sent_at)
 
     def apply_update(
         self,
         update: replicas.Update,
         peer: replicas.Peer,
-        now: datetime.timedelta,
+        sent_at: datetime.timedelta,
     ) -> None:
-        """Apply an update from a relay."""
+        """Apply an update that a relay sent at `sent_at` or before."""
         replica = self._replicas_by_kind.get(update.kind)
         if replica is not None:
             self._apply_batch(
                 replica,
                 update.to_batch(),
                 peer.host_id,
-                functools.partial(update.progress.confirm, replica, now),
+                functools.partial(update.progress.confirm, replica, sent_at),
             )
 
     def apply_heartbeat(
         self,
         beat: replicas.Beat,
         peer: replicas.Peer,
-        now: datetime.timedelta,
+        sent_at: datetime.timedelta,
     ) -> None:
         """Update the ages of the replicas from a heartbeat of a relay."""
         if beat.data_centre == self._settings.own.data_centre:
@@ -310,7 +314,7 @@
         for kind, progress in beat.progress_by_kind.items():
             replica = self._replicas_by_kind.get(kind)
             if replica is not None:
-                confirmed |= progress.confirm(replica, now)
+                confirmed |= progress.confirm(replica, sent_at)
         if confirmed:
             self._server.pass_on_confirmation()
 
@@ -334,7 +338,7 @@
     message: replicas.Message,
     synchronizer: StoreSynchronizer,
     peer: replicas.Peer,
-    now: datetime.timedelta,
+    sent_at: datetime.timedelta,
 ) -> None:
     _LOG.warning(
         'relay %s sent an unexpected %s message',
@@ -348,9 +352,9 @@
     message: replicas.Update,
     synchronizer: StoreSynchronizer,
     peer: replicas.Peer,
-    now: datetime.timedelta,
+    sent_at: datetime.timedelta,
 ) -> None:
-    synchronizer.apply_update(message, peer, now)
+    synchronizer.apply_update(message, peer, sent_at)
 
 
 @_handle_message.register
@@ -358,9 +362,9 @@
     message: replicas.Beat,
     synchronizer: StoreSynchronizer,
     peer: replicas.Peer,
-    now: datetime.timedelta,
+    sent_at: datetime.timedelta,
 ) -> None:
-    synchronizer.apply_heartbeat(message, peer, now)
+    synchronizer.apply_heartbeat(message, peer, sent_at)
 
 
 @_handle_message.register
@@ -368,6 +372,6 @@
     message: replicas.Peers,
     synchronizer: StoreSynchronizer,
     peer: replicas.Peer,
-    now: datetime.timedelta,
+    sent_at: datetime.timedelta,
 ) -> None:
     synchronizer.add_peers(message)
--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -25,7 +25,8 @@
     replicas_by_kind : Mapping
         Replicas of this host, which give the versions to start from.
     on_message : callable
-        Called with the relay and each message from it.
+        Called with the relay, each message from it, and the time that the
+        message took to arrive after its first byte.
     count_listeners : callable
         Returns the number of hosts of the data centre that listen to this
         one.
@@ -37,7 +38,7 @@
         peer: replicas.Peer,
         replicas_by_kind: collections.abc.Mapping[str, replicas.Replica],
         on_message: collections.abc.Callable[
-            [replicas.Peer, replicas.Message], None
+            [replicas.Peer, replicas.Message, datetime.timedelta], None
         ],
         count_listeners: collections.abc.Callable[[], int],
     ) -> None:
@@ -68,7 +69,8 @@
         try:
             writer.write(self._codec.encode(self._build_hello()))
             while True:
-                self._on_message(self._peer, await self._read_message(reader))
+                message, transfer_time = await self._read_message(reader)
+                self._on_message(self._peer, message, transfer_time)
                 if self._count_listeners() != self._reported_listeners:
                     writer.write(self._codec.encode(self._build_hello()))
         finally:
@@ -89,7 +91,8 @@
 
     async def _read_message(
         self, reader: asyncio.StreamReader
-    ) -> replicas.Message:
+    ) -> tuple[replicas.Message, datetime.timedelta]:
+        """Return a message and the time that its transfer took."""
         received = length = 0
         chunks = []
         silence_s = READ_TIMEOUT.total_seconds()
@@ -97,6 +100,7 @@
         try:
             async with asyncio.timeout(silence_s) as limit:
                 header = await reader.readexactly(self._codec.header_bytes)
+                began_at = loop.time()
                 length = self._codec.decode_length(header)
                 while received < length:
                     chunk = await reader.read(
@@ -117,4 +121,5 @@
             raise TimeoutError(f'silent for {READ_TIMEOUT}{progress}') from (
                 error
             )
-        return self._codec.decode(b''.join(chunks))
+        transfer_time = datetime.timedelta(seconds=loop.time() - began_at)
+        return self._codec.decode(b''.join(chunks)), transfer_time
--- a/acaciamoor/forwarder/shell/relay_links.py
+++ b/acaciamoor/forwarder/shell/relay_links.py
@@ -27,7 +27,8 @@
     peers : PeerList
         Known hosts; those that cannot be reached are marked.
     on_message : callable
-        Called with the relay and each message from it.
+        Called with the relay, each message from it, and the time that the
+        message took to arrive.
     on_lost : callable
         Called with a host whose connection has failed.
     count_listeners : callable
@@ -44,7 +45,7 @@
         replicas_by_kind: collections.abc.Mapping[str, replicas.Replica],
         peers: replicas.PeerList,
         on_message: collections.abc.Callable[
-            [replicas.Peer, replicas.Message], None
+            [replicas.Peer, replicas.Message, datetime.timedelta], None
         ],
         on_lost: collections.abc.Callable[[replicas.Peer], None],
         count_listeners: collections.abc.Callable[[], int],
--- a/acaciamoor/forwarder/shell/sources.py
+++ b/acaciamoor/forwarder/shell/sources.py
@@ -212,7 +212,7 @@
                 functools.partial(
                     replica.confirm_by_store,
                     event.version,
-                    self._clock.monotonic(),
+                    self._clock.monotonic() - event.transfer_time,
                 ),
             )
             if mode is replicas.CallMode.REFRESH:
--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -54,7 +54,9 @@
             own,
             peer,
             {KIND: target},
-            lambda _, message: messages.put_nowait(message),
+            lambda _, message, transfer_time: messages.put_nowait(
+                (message, transfer_time)
+            ),
             lambda: 0,
         )
         return messages, asyncio.create_task(link.run())
@@ -63,16 +65,19 @@
         """Guards against a listener without the earlier objects."""
         target = replica.Replica(KIND)
         messages, task = self.listen('h-1', target)
-        known = await messages.get()
+        known, _ = await messages.get()
         self.assertEqual(
             {'relay', 'h-1'}, {state.host_id for state in known.peers}
         )
-        target.apply((await messages.get()).to_batch())
+        update, transfer_time = await messages.get()
+        self.assertLess(transfer_time, SECOND)
+        target.apply(update.to_batch())
         self.assertEqual({'a'}, target.names)
         batch = replica.Batch(5, 6, (builders.put('b', 6),))
         self.source.apply(batch)
         self.server.publish(KIND, batch)
-        target.apply((await messages.get()).to_batch())
+        update, _ = await messages.get()
+        target.apply(update.to_batch())
         self.assertEqual({'a', 'b'}, target.names)
         task.cancel()
 
@@ -142,8 +147,11 @@
         with mock.patch.object(relay_link, 'READ_TIMEOUT', SILENCE):
             messages, task = self.listen('h-1', target)
             async with asyncio.timeout(10 * SILENCE.total_seconds()):
-                target.apply((await messages.get()).to_batch())
+                received, transfer_time = await messages.get()
+        target.apply(received.to_batch())
         self.assertEqual({'a'}, target.names)
+        # What the relay confirms in the message is as old as its transfer.
+        self.assertGreaterEqual(transfer_time, 1.5 * SILENCE)
         task.cancel()
 
     async def test_silence_within_a_message_ends_the_connection(self):
--- a/acaciamoor/platform/connection.py
+++ b/acaciamoor/platform/connection.py
@@ -45,11 +45,24 @@
 
 
 class Response(msgspec.Struct, frozen=True):
-    """HTTP response; the names of the headers are in lower case."""
+    """HTTP response.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers_by_name : dict
+        Headers; the names are in lower case.
+    body : bytes
+        Body.
+    transfer_time : datetime.timedelta
+        Time from the arrival of the first byte to that of the last one.
+    """
 
     status: int
     headers_by_name: dict[str, str]
     body: bytes
+    transfer_time: datetime.timedelta = datetime.timedelta(0)
 
     @property
     def successful(self) -> bool:
@@ -201,6 +214,7 @@
         silence_timeout: datetime.timedelta,
     ) -> Response:
         loop = asyncio.get_running_loop()
+        began_at = None
         while handler.response is None:
             data = await reader.read(_READ_BYTES)
             if not data:
@@ -208,10 +222,15 @@
                     'the server closed the connection before the response '
                     'was complete'
                 )
+            if began_at is None:
+                began_at = loop.time()
             handler.feed(data)
             silent_at = loop.time() + silence_timeout.total_seconds()
             limit.reschedule(max(limit.when() or 0.0, silent_at))
-        return handler.response
+        return msgspec.structs.replace(
+            handler.response,
+            transfer_time=datetime.timedelta(seconds=loop.time() - began_at),
+        )
 
 
 def _enable_keepalive(
--- a/acaciamoor/platform/objects.py
+++ b/acaciamoor/platform/objects.py
@@ -1,6 +1,7 @@
 """Stored objects, and the interfaces of the object store."""
 
 import collections.abc
+import datetime
 import enum
 import typing
 
@@ -53,10 +54,21 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Objects of a kind at one version of the collection."""
+    """Objects of a kind at one version of the collection.
+
+    Parameters
+    ----------
+    version : int
+        Version of the collection.
+    objects : tuple of StoredObject
+        The objects.
+    transfer_time : datetime.timedelta
+        Time since the platform had this version, at most; zero if unknown.
+    """
 
     version: int
     objects: tuple[StoredObject, ...]
+    transfer_time: datetime.timedelta = datetime.timedelta(0)
 
 
 class FieldSelector(msgspec.Struct, frozen=True):
@@ -109,12 +121,16 @@
     complete : bool
         For a bookmark, whether the events since the last one are all objects
         that exist at `version`.
+    transfer_time : datetime.timedelta
+        For a bookmark, time that the response took to arrive. The platform had
+        `version` before that.
     """
 
     event_type: EventType
     version: int
     stored: StoredObject | None = None
     complete: bool = False
+    transfer_time: datetime.timedelta = datetime.timedelta(0)
 
 
 class Write(msgspec.Struct, frozen=True):
--- a/acaciamoor/platform/polling.py
+++ b/acaciamoor/platform/polling.py
@@ -1,5 +1,6 @@
 """Transport for platforms with paginated listings and long polling."""
 
+import asyncio
 import collections.abc
 import datetime
 
@@ -86,6 +87,8 @@
         version delivers the changes made while later pages were read. With
         `stale`, the platform may return data that is seconds old.
         """
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         found: list[objects.StoredObject] = []
         version = None
         continue_after = ''
@@ -107,6 +110,7 @@
                 for stored in found
                 if selector is None or selector.matches(stored.value)
             ),
+            datetime.timedelta(seconds=loop.time() - started_at),
         )
 
     async def write(self, write: objects.Write) -> objects.StoredObject:
@@ -149,7 +153,9 @@
         for event in changes.events:
             yield event
         yield objects.WatchEvent(
-            objects.EventType.BOOKMARK, max(changes.version, after_version)
+            objects.EventType.BOOKMARK,
+            max(changes.version, after_version),
+            transfer_time=response.transfer_time,
         )
 
     async def _read(
--- a/acaciamoor/platform/tests/test_polling.py
+++ b/acaciamoor/platform/tests/test_polling.py
@@ -170,6 +170,25 @@
         stored = await transport.read('desk', 'a')
         self.assertEqual('a' * 20, stored.name)
 
+    async def test_slow_response_is_as_old_as_its_transfer(self):
+        """Guards against a host that takes late data for fresh.
+
+        The platform made the response before its first byte was sent.
+        """
+
+        async def respond_slowly(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n')
+            for _ in range(4):
+                await asyncio.sleep(TIMEOUT.total_seconds() / 2)
+                writer.write(b'7')
+
+        transport = await self.start(respond_slowly)
+        async for event in transport.stream('desk', 5):
+            self.assertGreaterEqual(event.transfer_time, 1.5 * TIMEOUT)
+        listing = await transport.read_all('desk')
+        self.assertGreaterEqual(listing.transfer_time, 1.5 * TIMEOUT)
+
     async def test_silence_within_a_response_ends_the_call(self):
         """Guards against a store that hangs in the middle of a response."""
 
--- a/acaciamoor/platform/watching.py
+++ b/acaciamoor/platform/watching.py
@@ -126,6 +126,7 @@
             objects.EventType.BOOKMARK,
             self._version,
             complete=self._whole_listings,
+            transfer_time=listing.transfer_time,
         )
 
     def _find_deletions(
