Measure how long messages of relays were on the way, and date what they confirm by it

What callers would see: new flows to an upstream that has said it leaves, or by an old configuration, through hosts whose relay was cut off for less than 1.6 s. Cause: a heartbeat that the path held back was dated by its arrival. The age of a listener's copy then looked up to 1.6 s younger, the silence after which a relay is lost, and 2.1 s + 1.6 s exceed 3 s. Before: test_heartbeat_that_was_held_back_is_old fails (no delay is known). After: it passes.

--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -276,10 +276,10 @@
         self,
         peer: replicas.Peer,
         message: replicas.Message,
-        transfer_time: datetime.timedelta,
+        delay: datetime.timedelta,
     ) -> None:
         # Ages in the message are those of the time at which it was sent.
-        sent_at = self._clock.monotonic() - transfer_time
+        sent_at = self._clock.monotonic() - delay
         self._peers.mark_reachable(peer.host_id)
         _handle_message(message, self, peer, sent_at)
 
--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -25,8 +25,8 @@
     replicas_by_kind : Mapping
         Replicas of this host, which give the versions to start from.
     on_message : callable
-        Called with the relay, each message from it, and the time that the
-        message took to arrive after its first byte.
+        Called with the relay, each message from it, and for how long that was
+        on the way.
     count_listeners : callable
         Returns the number of hosts of the data centre that listen to this
         one.
@@ -49,6 +49,7 @@
         self._count_listeners = count_listeners
         self._reported_listeners = 0
         self._codec = replicas.MessageCodec()
+        self._delays = replicas.DelayEstimator()
 
     async def run(self) -> None:
         """Receive messages until the connection fails.
@@ -69,8 +70,8 @@
         try:
             writer.write(self._codec.encode(self._build_hello()))
             while True:
-                message, transfer_time = await self._read_message(reader)
-                self._on_message(self._peer, message, transfer_time)
+                message, delay = await self._read_message(reader)
+                self._on_message(self._peer, message, delay)
                 if self._count_listeners() != self._reported_listeners:
                     writer.write(self._codec.encode(self._build_hello()))
         finally:
@@ -92,7 +93,7 @@
     async def _read_message(
         self, reader: asyncio.StreamReader
     ) -> tuple[replicas.Message, datetime.timedelta]:
-        """Return a message and the time that its transfer took."""
+        """Return a message, and for how long it was on the way."""
         received = length = 0
         chunks = []
         silence_s = READ_TIMEOUT.total_seconds()
@@ -121,5 +122,10 @@
             raise TimeoutError(f'silent for {READ_TIMEOUT}{progress}') from (
                 error
             )
-        transfer_time = datetime.timedelta(seconds=loop.time() - began_at)
-        return self._codec.decode(b''.join(chunks)), transfer_time
+        message = self._codec.decode(b''.join(chunks))
+        received_at = datetime.timedelta(seconds=loop.time())
+        delay = received_at - datetime.timedelta(seconds=began_at)
+        if isinstance(message, replicas.Beat | replicas.Update):
+            sent_at = datetime.timedelta(seconds=message.sent_at)
+            delay = max(delay, self._delays.record(sent_at, received_at))
+        return message, delay
--- a/acaciamoor/forwarder/shell/relay_links.py
+++ b/acaciamoor/forwarder/shell/relay_links.py
@@ -27,8 +27,8 @@
     peers : PeerList
         Known hosts; those that cannot be reached are marked.
     on_message : callable
-        Called with the relay, each message from it, and the time that the
-        message took to arrive.
+        Called with the relay, each message from it, and for how long that was
+        on the way.
     on_lost : callable
         Called with a host whose connection has failed.
     count_listeners : callable
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -161,6 +161,7 @@
                 },
                 self._own.data_centre,
                 self.local_hosts,
+                now.total_seconds(),
             )
         )
 
@@ -273,7 +274,7 @@
                 yield replicas.Update.from_batch(replica, batch, now)
         if not initialized:
             # A host that starts then asks the store without waiting.
-            yield replicas.Beat({})
+            yield replicas.Beat({}, sent_at=now.total_seconds())
 
 
 def _encode_peers(
--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -54,9 +54,7 @@
             own,
             peer,
             {KIND: target},
-            lambda _, message, transfer_time: messages.put_nowait(
-                (message, transfer_time)
-            ),
+            lambda _, message, delay: messages.put_nowait((message, delay)),
             lambda: 0,
         )
         return messages, asyncio.create_task(link.run())
@@ -69,8 +67,8 @@
         self.assertEqual(
             {'relay', 'h-1'}, {state.host_id for state in known.peers}
         )
-        update, transfer_time = await messages.get()
-        self.assertLess(transfer_time, SECOND)
+        update, delay = await messages.get()
+        self.assertLess(delay, SECOND)
         target.apply(update.to_batch())
         self.assertEqual({'a'}, target.names)
         batch = replica.Batch(5, 6, (builders.put('b', 6),))
@@ -147,11 +145,34 @@
         with mock.patch.object(relay_link, 'READ_TIMEOUT', SILENCE):
             messages, task = self.listen('h-1', target)
             async with asyncio.timeout(10 * SILENCE.total_seconds()):
-                received, transfer_time = await messages.get()
+                received, delay = await messages.get()
         target.apply(received.to_batch())
         self.assertEqual({'a'}, target.names)
         # What the relay confirms in the message is as old as its transfer.
-        self.assertGreaterEqual(transfer_time, 1.5 * SILENCE)
+        self.assertGreaterEqual(delay, 1.5 * SILENCE)
+        task.cancel()
+
+    async def test_heartbeat_that_was_held_back_is_old(self):
+        """Guards against a host that takes old lists for fresh ones.
+
+        A path that was cut for a moment delivers afterwards what it held.
+        """
+        codec = replica.MessageCodec()
+
+        async def send_late(reader, writer):
+            for sent_at in (100.0, 100.1, 100.2):
+                writer.write(codec.encode(replica.Beat({}, sent_at=sent_at)))
+                await asyncio.sleep(SILENCE.total_seconds())
+            await reader.read()
+
+        server = await asyncio.start_server(send_late, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        self.address = model.Address(*server.sockets[0].getsockname())
+        messages, task = self.listen('h-1', replica.Replica(KIND))
+        delays = [(await messages.get())[1] for _ in range(3)]
+        self.assertLess(delays[0], 0.1 * SECOND)
+        self.assertGreaterEqual(delays[1], 0.15 * SECOND)
+        self.assertGreaterEqual(delays[2], 0.35 * SECOND)
         task.cancel()
 
     async def test_silence_within_a_message_ends_the_connection(self):
--- a/acaciamoor/replica/__init__.py
+++ b/acaciamoor/replica/__init__.py
@@ -4,6 +4,7 @@
 from acaciamoor.replica.call_modes import CallMode
 from acaciamoor.replica.call_modes import Role
 from acaciamoor.replica.call_modes import select_call_mode
+from acaciamoor.replica.delays import DelayEstimator
 from acaciamoor.replica.messages import Beat
 from acaciamoor.replica.messages import Hello
 from acaciamoor.replica.messages import MAX_LINK_MBPS
@@ -30,6 +31,7 @@
     'Beat',
     'CallMode',
     'Confirmation',
+    'DelayEstimator',
     'Hello',
     'Message',
     'MessageCodec',
--- a/acaciamoor/replica/messages.py
+++ b/acaciamoor/replica/messages.py
@@ -33,6 +33,8 @@
 MAX_LINK_MBPS = 1e6
 # Ages above a year are errors.
 _MAX_AGE_S = 366 * 86400
+# Monotonic clocks count from the start of a machine.
+_MAX_CLOCK_S = 100 * _MAX_AGE_S
 
 
 class MessageError(ValueError):
@@ -149,6 +151,11 @@
         )
 
 
+def _check_clock(seconds: float) -> None:
+    if not 0 <= seconds < _MAX_CLOCK_S:
+        raise ValueError(f'clock of {seconds} s is out of range')
+
+
 class Beat(msgspec.Struct, tag=True, frozen=True):
     """Heartbeat: confirms the versions of all collections."""
 
@@ -156,6 +163,11 @@
     # Data centre of the sender, and its number of hosts.
     data_centre: str = ''
     hosts: int = 0
+    # By the monotonic clock of the sender, in seconds.
+    sent_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        _check_clock(self.sent_at)
 
 
 class ObjectState(msgspec.Struct, frozen=True, array_like=True):
@@ -175,6 +187,11 @@
     progress: Progress
     whole: bool
     states: list[ObjectState]
+    # By the monotonic clock of the sender, in seconds.
+    sent_at: float
+
+    def __post_init__(self) -> None:
+        _check_clock(self.sent_at)
 
     @classmethod
     def from_batch(
@@ -195,6 +212,7 @@
                 for event in batch.events
                 if event.stored is not None
             ],
+            now / _SECOND,
         )
 
     def to_batch(self) -> replicas.Batch:
