--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -4,6 +4,7 @@
 import collections.abc
 import datetime
 
+from acaciamoor import clock as clocks
 from acaciamoor import replica as replicas
 
 # Connecting within a data centre takes less than 1 ms.
@@ -30,6 +31,9 @@
     count_listeners : callable
         Returns the number of hosts of the data centre that listen to this
         one.
+    clock : Clock
+        Source of time. Like the sender's, it counts the time for which a
+        machine is suspended.
     """
 
     def __init__(
@@ -41,6 +45,7 @@
             [replicas.Peer, replicas.Message, datetime.timedelta], None
         ],
         count_listeners: collections.abc.Callable[[], int],
+        clock: clocks.Clock,
     ) -> None:
         self._own = own
         self._peer = peer
@@ -48,6 +53,7 @@
         self._on_message = on_message
         self._count_listeners = count_listeners
         self._reported_listeners = 0
+        self._clock = clock
         self._codec = replicas.MessageCodec()
         self._delays = replicas.DelayEstimator()
 
@@ -101,7 +107,7 @@
         try:
             async with asyncio.timeout(silence_s) as limit:
                 header = await reader.readexactly(self._codec.header_bytes)
-                began_at = loop.time()
+                began_at = self._clock.monotonic()
                 length = self._codec.decode_length(header)
                 while received < length:
                     chunk = await reader.read(
@@ -123,8 +129,8 @@
                 error
             )
         message = self._codec.decode(b''.join(chunks))
-        received_at = datetime.timedelta(seconds=loop.time())
-        delay = received_at - datetime.timedelta(seconds=began_at)
+        received_at = self._clock.monotonic()
+        delay = received_at - began_at
         if isinstance(message, replicas.Beat | replicas.Update):
             sent_at = datetime.timedelta(seconds=message.sent_at)
             delay = max(delay, self._delays.record(sent_at, received_at))
--- a/acaciamoor/forwarder/shell/relay_links.py
+++ b/acaciamoor/forwarder/shell/relay_links.py
@@ -145,6 +145,7 @@
             self._replicas_by_kind,
             self._on_message,
             self._count_listeners,
+            self._clock,
         )
         try:
             await link.run()
--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -56,6 +56,7 @@
             {KIND: target},
             lambda _, message, delay: messages.put_nowait((message, delay)),
             lambda: 0,
+            clock.SystemClock(),
         )
         return messages, asyncio.create_task(link.run())
 
