--- a/acaciamoor/platform/tests/test_polling.py
+++ b/acaciamoor/platform/tests/test_polling.py
@@ -21,7 +21,7 @@
 class StubDialect:
     """Minimal requests; the body of a response becomes an object's name."""
 
-    era_header = 'store-era'
+    era_header = 'platform-era'
 
     def read(self, kind, name):
         return dialect.Request('GET', f'/{kind}/{name}', name)
@@ -253,7 +253,7 @@
             await reader.readuntil(b'\r\n\r\n')
             era, status, body = remaining.pop(0)
             writer.write(
-                b'HTTP/1.1 %d x\r\nStore-Era: %s\r\nContent-Length: %d\r\n'
+                b'HTTP/1.1 %d x\r\nPlatform-Era: %s\r\nContent-Length: %d\r\n'
                 b'\r\n%s' % (status, era, len(body), body)
             )
 
