--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -64,10 +64,14 @@
         self.ends: dict[str, int] = {}
         self.peak_mb = 0.0
 
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the start of the case."""
+        return time.monotonic() - self._began_at
+
     def log(self, text: str) -> None:
         """Write a line to the record."""
-        now = time.monotonic() - self._began_at
-        self._record.write(f'{now:8.3f} {text}\n')
+        self._record.write(f'{self.elapsed_s:8.3f} {text}\n')
 
     async def start_store(self) -> None:
         """Start the store and the paths of the zones to it."""
