--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -45,6 +45,7 @@
         self._socket = wire.udp_socket(ip, 0)
         self.address = self._socket.getsockname()
         self._reports = None
+        self._closed = False
         self._loop = asyncio.get_running_loop()
 
     def start(self) -> None:
@@ -54,11 +55,23 @@
 
     def close(self) -> None:
         """Stop."""
+        if self._closed:
+            return
+        self._closed = True
         if self._reports is not None:
             self._reports.cancel()
         self._loop.remove_reader(self._socket)
         self._socket.close()
 
+    def exit(self) -> list[str]:
+        """End; return the requests in progress, which get no answer."""
+        self.close()
+        return [
+            flow['data'].decode()
+            for flow in self._flows.values()
+            if flow['data'] and flow['answer'] is None
+        ]
+
     async def report_now(self) -> None:
         """Write the entry to the store."""
         if not self.reaches_store:
@@ -163,6 +176,8 @@
         )
 
     def _transmit(self, packet: wire.Packet) -> None:
+        if self._closed:
+            return
         self._socket.sendto(
             packet.encode(), (wire.to_ip(packet.dst), self.requester_port)
         )
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -21,6 +21,7 @@
 HEARTBEAT_S = 1.2
 CONTACT_S = 4.0
 DRAIN_S = 3.0
+METRICS_PORT = 9464
 # Time until the platform starts a process again.
 RESTART_S = 0.3
 
@@ -44,8 +45,7 @@
         self.folder = pathlib.Path(self._temporary.name)
         self._record = (folder / 'record.txt').open('w')
         self._began_at = time.monotonic()
-        # A second octet of its own keeps plays beside each other apart.
-        self._net = f'127.{random.SystemRandom().randint(16, 250)}'
+        self._lock, self._net = _reserve_net()
         self.route_ip = f'{self._net}.250.1'
         self.store = stores.Store(f'{self._net}.100.1', HEARTBEAT_S, self.log)
         self.paths: dict[str, stores.StorePath] = {}
@@ -296,6 +296,26 @@
             if touch == 'in touch':
                 self.broken.append(text)
 
+    async def drain(self, backend, serves_s: float) -> None:
+        """Let a backend drain, serve for some time, and leave."""
+        backend.state = 'draining'
+        await backend.report_now()
+        await asyncio.sleep(serves_s)
+        lost = backend.exit()
+        await self.store.leave(backend.name)
+        self.log(
+            f'{backend.name} has left with {len(lost)} requests in progress '
+            f'that came after its last due one: {lost}'
+        )
+
+    def count_served(self) -> tuple[int, int]:
+        """Return how many requests were served, and how many have ended."""
+        counts = [item.counts for item in self.requesters.values()]
+        return (
+            sum(item.get('200', 0) for item in counts),
+            sum(sum(item.values()) for item in counts),
+        )
+
     def check_served(self) -> None:
         """Raise an error unless requests were served in each zone."""
         for zone, item in self.requesters.items():
@@ -329,6 +349,7 @@
         for (name, _, via), late in self.latest.items():
             self.log(f'last opening packet at {name} via {via}: {late:.3f} s')
         self._record.close()
+        self._lock.close()
 
 
 def run_case(play) -> int:
@@ -358,6 +379,24 @@
     return f'frontend-{zone}-{index + 1}'
 
 
+def _reserve_net() -> tuple[socket.socket, str]:
+    """Return a network of loopback addresses that no other play uses.
+
+    All forwarders serve metrics at the same port, so that plays beside each
+    other need addresses of their own.
+    """
+    while True:
+        net = f'127.{random.SystemRandom().randint(16, 250)}'
+        lock = socket.socket()
+        try:
+            lock.bind((f'{net}.0.1', METRICS_PORT))
+            lock.listen()
+        except OSError:
+            lock.close()
+        else:
+            return lock, net
+
+
 def _free_ports(net: str) -> tuple[int, int, int]:
     """Return three ports that are free, as all machines use the same."""
     held = []
