--- a/review/3/play.py
+++ b/review/3/play.py
@@ -9,8 +9,8 @@
 
 from standins import world as worlds  # noqa: E402
 
-ROUNDS = 7
-CUT_S = 8.0
+ROUNDS = 8
+CUT_S = 6.5
 # A cut backend is back, and its forwarders are in touch, before the next cut.
 CALM_S = 6.0
 CUT_ZONE = 'kgn-b'
