--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -176,6 +176,18 @@
         """Number of hosts that are connected to this one as listeners."""
         return self._server.listeners
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait until listeners read them."""
+        return self._server.unsent_bytes
+
+    @property
+    def kept_changes(self) -> int:
+        """Number of changes that the replicas keep for other hosts."""
+        return sum(
+            item.kept_changes for item in self._replicas_by_kind.values()
+        )
+
     def _apply_batch(
         self,
         replica: replicas.Replica,
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -5,6 +5,7 @@
 import datetime
 import http
 import logging
+import os
 import random
 import signal
 
@@ -258,6 +259,21 @@
                 'Hosts that this host passes changes on to.',
                 lambda: self._synchronizer.listeners,
             ),
+            exposition.Gauge(
+                'acaciamoor_forwarder_unsent_bytes',
+                'Bytes that wait until listeners read them.',
+                lambda: self._synchronizer.unsent_bytes,
+            ),
+            exposition.Gauge(
+                'acaciamoor_forwarder_kept_changes',
+                'Changes that are kept for hosts that have fallen behind.',
+                lambda: self._synchronizer.kept_changes,
+            ),
+            exposition.Gauge(
+                'acaciamoor_forwarder_resident_memory_bytes',
+                'Resident memory of the process; 0 if it cannot be read.',
+                _read_resident_memory,
+            ),
         )
         return endpoints.Response(
             http.HTTPStatus.OK,
@@ -266,3 +282,14 @@
             ),
             exposition.CONTENT_TYPE,
         )
+
+
+def _read_resident_memory() -> int:
+    """Return the resident memory of the process, in bytes; 0 if unknown."""
+    try:
+        with open('/proc/self/statm') as file:
+            pages = int(file.read().split()[1])
+    except (OSError, ValueError, IndexError) as error:
+        _LOG.debug('the resident memory cannot be read: %r', error)
+        return 0
+    return pages * os.sysconf('SC_PAGE_SIZE')
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -68,6 +68,15 @@
         """Number of connected listeners."""
         return len(self._listeners_by_host)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait until listeners read them."""
+        return sum(
+            listener.writer.transport.get_write_buffer_size()
+            for listener in self._listeners_by_host.values()
+            if not listener.writer.is_closing()
+        )
+
     def count_local_listeners(self) -> int:
         """Return the number of listeners in the data centre of this host."""
         return sum(
--- a/acaciamoor/replica/replica.py
+++ b/acaciamoor/replica/replica.py
@@ -108,6 +108,11 @@
         """Names of all objects."""
         return frozenset(self._objects_by_name)
 
+    @property
+    def kept_changes(self) -> int:
+        """Number of changes kept for hosts that have fallen behind."""
+        return self._history_events
+
     def age(self, now: datetime.timedelta) -> datetime.timedelta | None:
         """Return the time since the last confirmation; None without one."""
         if self.confirmation is None:
