Keep names instead of values for hosts that have fallen behind

Cause: each replica kept its last 2,048 events with their values, so up to 2,048 whole configurations of 2 MB each. Only the latest value of an object is ever sent, and the replica holds that anyway.

Evidence: gauges showed 2 MB for each kept change, alike at hosts with and without listeners, and nothing unsent; a replica alone grew from 54 to 141 MB in 45 configurations, the decoder and the directory did not.

Ruled out: bytes that listeners had not read, the heap after decoding, old route tables.

Change: a log with one entry for each object, in the order of changes, and a limit in bytes. Updates take the values from the replica.

--- a/acaciamoor/replica/__init__.py
+++ b/acaciamoor/replica/__init__.py
@@ -4,6 +4,7 @@
 from acaciamoor.replica.call_modes import CallMode
 from acaciamoor.replica.call_modes import Role
 from acaciamoor.replica.call_modes import select_call_mode
+from acaciamoor.replica.change_log import MAX_LOG_BYTES
 from acaciamoor.replica.delays import DelayEstimator
 from acaciamoor.replica.messages import Beat
 from acaciamoor.replica.messages import Hello
@@ -25,6 +26,7 @@
 
 __all__ = [
     'MAX_LINK_MBPS',
+    'MAX_LOG_BYTES',
     'PROTOCOL',
     'AgeLimits',
     'Batch',
--- a/acaciamoor/replica/replica.py
+++ b/acaciamoor/replica/replica.py
@@ -7,10 +7,8 @@
 import msgspec
 
 from acaciamoor import platform
+from acaciamoor.replica import change_log
 
-# Events that are kept for hosts that have fallen behind. A host that lacks
-# older events gets a snapshot.
-_MAX_HISTORY_EVENTS = 2048
 # Hosts whose last confirmation is remembered; few call the store at a time.
 _MAX_ORIGINS = 256
 
@@ -100,8 +98,7 @@
             collections.OrderedDict()
         )
         self._objects_by_name: dict[str, platform.StoredObject] = {}
-        self._history: collections.deque[Batch] = collections.deque()
-        self._history_events = 0
+        self._log = change_log.ChangeLog()
 
     @property
     def names(self) -> frozenset[str]:
@@ -111,7 +108,7 @@
     @property
     def kept_changes(self) -> int:
         """Number of changes kept for hosts that have fallen behind."""
-        return self._history_events
+        return len(self._log)
 
     def age(self, now: datetime.timedelta) -> datetime.timedelta | None:
         """Return the time since the last confirmation; None without one."""
@@ -167,7 +164,7 @@
         ]
         self.version = batch.version
         self.initialized = True
-        self._append_history(batch, base)
+        self._record_changes(batch, base)
         return accepted
 
     def changes_since(self, version: int) -> Batch:
@@ -179,19 +176,15 @@
         """
         if version >= self.version:
             return Batch(self.version, self.version)
-        if (
-            version
-            and self._history
-            and self._history[0].base_version <= version <= self.version
-        ):
-            events_by_name = {
-                event.stored.name: event
-                for batch in self._history
-                if batch.version > version
-                for event in batch.events
-                if event.stored is not None
-            }
-            return Batch(version, self.version, tuple(events_by_name.values()))
+        if version and self._log.reaches_back_to(version):
+            return Batch(
+                version,
+                self.version,
+                tuple(
+                    self._describe_change(name, change)
+                    for name, change in self._log.since(version)
+                ),
+            )
         put = platform.EventType.PUT
         return Batch(
             0,
@@ -238,20 +231,31 @@
         self._objects_by_name[stored.name] = stored
         return True
 
-    def _append_history(self, batch: Batch, base: int) -> None:
+    def _describe_change(
+        self, name: str, change: change_log.Change
+    ) -> platform.WatchEvent:
+        stored = self._objects_by_name.get(name)
+        if stored is not None:
+            return platform.WatchEvent(
+                platform.EventType.PUT, stored.version, stored
+            )
+        version = change.event_version
+        return platform.WatchEvent(
+            platform.EventType.DELETED,
+            version,
+            platform.StoredObject(self.kind, name, version, {}),
+        )
+
+    def _record_changes(self, batch: Batch, base: int) -> None:
         if batch.snapshot:
             # It does not tell which objects were deleted since a version that
             # another host may have.
-            self._history.clear()
-            self._history_events = 0
+            self._log.reset(batch.version)
             return
         # Deletions of objects that this replica never had are kept: a host at
         # a version between `base` and that of the batch may have them.
-        events = tuple(event for event in batch.events if event.version > base)
-        self._history.append(Batch(base, batch.version, events))
-        self._history_events += len(events)
-        while (
-            self._history_events > _MAX_HISTORY_EVENTS
-            and len(self._history) > 1
-        ):
-            self._history_events -= len(self._history.popleft().events)
+        for event in batch.events:
+            if event.version > base and event.stored is not None:
+                self._log.record(
+                    event.stored.name, batch.version, event.version
+                )
--- a/acaciamoor/replica/tests/builders.py
+++ b/acaciamoor/replica/tests/builders.py
@@ -5,6 +5,9 @@
 from acaciamoor import replica
 
 KIND = 'servers'
+# Lower bound of the memory of a value of `put_large`.
+LARGE_VALUE_BYTES = 200_000
+_LARGE_VALUE_FIELDS = 2_000
 
 
 def put(name: str, version: int, **value) -> platform.WatchEvent:
@@ -13,6 +16,15 @@
     return platform.WatchEvent(platform.EventType.PUT, version, stored)
 
 
+def put_large(name: str, version: int) -> platform.WatchEvent:
+    """Return the event for a write of a large value."""
+    fields = {
+        f'field-{version}-{number}': f'value-{version}-{number}'
+        for number in range(_LARGE_VALUE_FIELDS)
+    }
+    return put(name, version, **fields)
+
+
 def deleted(name: str, version: int) -> platform.WatchEvent:
     """Return the event for a deletion."""
     stored = platform.StoredObject(KIND, name, version, {})
--- a/acaciamoor/replica/tests/test_replica.py
+++ b/acaciamoor/replica/tests/test_replica.py
@@ -2,6 +2,7 @@
 
 import datetime
 import math
+import tracemalloc
 import unittest
 import zlib
 
@@ -92,6 +93,74 @@
         listener.apply(source.changes_since(listener.version))
         self.assertEqual((9, frozenset()), (listener.version, listener.names))
 
+    def test_large_values_that_change_often_take_little_memory(self):
+        """Guards against forwarders that are killed over their memory.
+
+        A replica that keeps values for hosts that have fallen behind grows
+        with each configuration. Here 100 of them take some 30 MB.
+        """
+        source = builders.new_replica(1)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for version in range(2, 102):
+            event = builders.put_large('main', version)
+            source.apply(replica.Batch(version - 1, version, (event,)))
+            if version == 11:
+                settled, _ = tracemalloc.get_traced_memory()
+        grown = tracemalloc.get_traced_memory()[0] - settled
+        self.assertLess(grown, builders.LARGE_VALUE_BYTES)
+
+    def test_host_that_has_fallen_behind_gets_only_what_changed(self):
+        """Guards against whole collections for hosts that lag a little.
+
+        Keeping changes is for this; their number must not end it.
+        """
+        source = builders.new_replica(
+            1, *(builders.put(f'desk-{number}', 1) for number in range(50))
+        )
+        listener = builders.new_replica(
+            1, *(builders.put(f'desk-{number}', 1) for number in range(50))
+        )
+        for version in range(2, 5_000):
+            event = builders.put('main', version, step=version)
+            source.apply(replica.Batch(version - 1, version, (event,)))
+        source.apply(
+            replica.Batch(4_999, 5_000, (builders.deleted('desk-7', 5_000),))
+        )
+        batch = source.changes_since(listener.version)
+        self.assertFalse(batch.snapshot)
+        self.assertEqual(
+            ['main', 'desk-7'], [event.stored.name for event in batch.events]
+        )
+        self.assertEqual({'step': 4_999}, batch.events[0].stored.value)
+        listener.apply(batch)
+        self.assertEqual(source.names, listener.names)
+
+    def test_kept_changes_are_limited_by_their_memory(self):
+        """Guards against long names of another writer that fill the memory.
+
+        Each object is written and removed again; 2,000 names take 20 MB.
+        """
+        source = builders.new_replica(1)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for version in range(2, 4_002, 2):
+            name = f'{version:04}' * 2_500
+            for event in (
+                builders.put(name, version),
+                builders.deleted(name, version + 1),
+            ):
+                source.apply(
+                    replica.Batch(source.version, event.version, (event,))
+                )
+        used, _ = tracemalloc.get_traced_memory()
+        self.assertLess(used, 2 * replica.MAX_LOG_BYTES)
+        # A host at an older version than the log gets everything.
+        self.assertTrue(source.changes_since(2).snapshot)
+        lagging = source.changes_since(source.version - 4)
+        self.assertFalse(lagging.snapshot)
+        self.assertEqual(2, len(lagging.events))
+
     def test_hosts_that_confirm_each_other_grow_old(self):
         """Guards against hosts that are cut off and do not notice.
 
