--- a/acaciamoor/platform/versions.py
+++ b/acaciamoor/platform/versions.py
@@ -9,6 +9,7 @@
 # Revisions below 2**48 would last for 9,000 years at 1,000 writes a second.
 _REVISION_BITS = 48
 # Versions are 64-bit integers in messages.
+MAX_REVISION = (1 << _REVISION_BITS) - 1
 MAX_ERA = (1 << (63 - _REVISION_BITS)) - 1
 
 
@@ -29,7 +30,7 @@
     """
     if not 0 <= era <= MAX_ERA:
         raise ValueError(f'era {era} is out of range')
-    if not 0 <= revision < 1 << _REVISION_BITS:
+    if not 0 <= revision <= MAX_REVISION:
         raise ValueError(f'revision {revision} is out of range')
     return era << _REVISION_BITS | revision
 
@@ -41,7 +42,7 @@
 
 def get_revision(version: int) -> int:
     """Return the revision of a version within its era."""
-    return version & ((1 << _REVISION_BITS) - 1)
+    return version & MAX_REVISION
 
 
 def format_version(version: int) -> str:
