Keep indexes of tokens only for addresses that have a route

The directory made an index of all upstreams for each address that a packet named, and kept it until an upstream joined or expired. Callers choose the address of a packet that opens no flow, so that they could fill the memory; a configuration that removes routes left their indexes behind as well.

Packets without a route are dropped before the look-up, and a configuration removes the indexes of addresses that it does not have.

The drop reason of such packets is no_route instead of unknown_token.

--- a/acaciamoor/directory/directory.py
+++ b/acaciamoor/directory/directory.py
@@ -97,6 +97,10 @@
         if self._table is not None and table.version <= self._table.version:
             return False
         self._table = table
+        for address in (
+            self._indexes_by_address.keys() - table.routes_by_address.keys()
+        ):
+            del self._indexes_by_address[address]
         return True
 
     def put_upstream(self, entry: upstreams.UpstreamEntry) -> bool:
--- a/acaciamoor/directory/tests/test_directory.py
+++ b/acaciamoor/directory/tests/test_directory.py
@@ -1,5 +1,6 @@
 """Lookups while routes and upstreams change."""
 
+import tracemalloc
 import unittest
 
 from acaciamoor import directory
@@ -36,6 +37,20 @@
             'desk-1', routing.find_upstream(ADDRESS, token).upstream_id
         )
 
+    def test_removed_routes_take_no_memory(self):
+        """Guards against a host that grows with each change of its routes."""
+        routing = builders.new_directory(builders.upstream_entry('desk-1'))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for version in range(2, 1_000):
+            address = (7, version)
+            routing.adopt_routes(
+                builders.table(version, builders.route(address))
+            )
+            self.assertIsNotNone(routing.token_of(address, 'desk-1'))
+        used, _ = tracemalloc.get_traced_memory()
+        self.assertLess(used, 100_000)
+
 
 class UpstreamTest(unittest.TestCase):
     def test_draining_upstream_gets_no_new_flows(self):
--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -302,14 +302,17 @@
         self, data: bytes, packet: packets.Packet, now: datetime.timedelta
     ) -> effects.Decision:
         key = packet.key
-        entry = self._directory.find_upstream(key[2:], packet.token)
+        # Without a route there is no look-up by token: it would keep an index
+        # for any address that a caller names.
+        routed = self._directory.find_route(key[2:]) is not None
+        entry = None
+        if routed:
+            entry = self._directory.find_upstream(key[2:], packet.token)
         if entry is None:
             if self._directory.complete:
-                return _UNKNOWN_TOKEN
+                return _UNKNOWN_TOKEN if routed else _NO_ROUTE
             self._held.put(data, packet, now)
             return _WAIT_FOR_CONFIGURATION
-        if self._directory.find_route(key[2:]) is None:
-            return _NO_ROUTE
         upstream_id = entry.upstream_id
         opening = self._pending.pop(key)
         if opening is not None:
--- a/acaciamoor/forwarder/tests/test_core.py
+++ b/acaciamoor/forwarder/tests/test_core.py
@@ -1,5 +1,6 @@
 """Forwarding decisions about packets."""
 
+import tracemalloc
 import unittest
 
 from acaciamoor import directory
@@ -67,6 +68,23 @@
         )
         self.assertEqual('desk-2', decision.forward.upstream_id)
 
+    def test_packets_to_unknown_addresses_take_no_memory(self):
+        """Guards against callers that fill the memory of a host.
+
+        The host keeps an index of tokens for each address of a route. Packets
+        that open no flow may name any other address.
+        """
+        core = builders.core(new_directory('desk-1', 'desk-2'))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for port in range(1, 2_000):
+            decision = core.handle(
+                b'', builders.packet(address=(7, port), token=port), ZERO
+            )
+            self.assertIsInstance(decision, forwarder.Drop)
+        used, _ = tracemalloc.get_traced_memory()
+        self.assertLess(used, 100_000)
+
     def test_packet_with_a_forged_token_is_dropped(self):
         """Guards against a packet for one service that reaches another one."""
         routing = new_directory('desk-1')
