--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,8 @@
 SIZE ?= 7
 # Guard of the forwarders that the soak switches off; it must fail then.
 WITHOUT ?=
+# Only kind of fault that the soak injects; all kinds if it is empty.
+FAULT ?=
 
 $(STAMP): requirements.txt requirements-dev.txt constraints.txt
 	test -e $@ -a -x $(BIN)/python || $(PYTHON) -m venv --clear $(VENV)
@@ -37,7 +39,7 @@
 soak: $(STAMP)
 	PYTHONPATH=.:platform $(BIN)/python -m acaciamoor_site.soak \
 		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --size $(SIZE) \
-		$(if $(WITHOUT),--without $(WITHOUT))
+		$(if $(WITHOUT),--without $(WITHOUT)) $(if $(FAULT),--fault $(FAULT))
 
 demo: $(STAMP)
 	$(BIN)/python -m acaciamoor.demo
