Count the grace of a mass removal from the last list of the store

Cause: upstreams whose entries go together with most of their service stay in the choice for 2 s, since entries also expire in an outage of the store. The 2 s counted from the moment at which a host learned of the removal, which is up to 2.3 s later if the relay of the site is cut off.

Evidence: all hosts logged the removal 1.8 s late at the most, and went on to place flows with 3 candidates of which they knew that 2 were gone.

Ruled out: news after the bound, repeated packets, hosts out of touch that put the entries back.

Change: the grace ends within the bound from the last time at which the store confirmed the entries. If the list is old and calls have failed since, the store or the host's path was away: then it lasts 2 s from the news as before, but no longer than until the bound holds again after a cut. Hosts record when a call that failed was started.

--- a/acaciamoor/directory/__init__.py
+++ b/acaciamoor/directory/__init__.py
@@ -1,7 +1,8 @@
 """Routes and upstreams that a host acts on, with their versions."""
 
 from acaciamoor.directory.directory import Directory
-from acaciamoor.directory.directory import DirectorySettings
+from acaciamoor.directory.removals import DirectorySettings
+from acaciamoor.directory.removals import StoreContact
 from acaciamoor.directory.routes import RequestKind
 from acaciamoor.directory.routes import Route
 from acaciamoor.directory.routes import RouteTable
@@ -14,6 +15,7 @@
     'RequestKind',
     'Route',
     'RouteTable',
+    'StoreContact',
     'UpstreamEntry',
     'UpstreamList',
 ]
--- a/acaciamoor/directory/directory.py
+++ b/acaciamoor/directory/directory.py
@@ -3,38 +3,12 @@
 import collections.abc
 import datetime
 
-import msgspec
-
 from acaciamoor import model
 from acaciamoor import tokens
+from acaciamoor.directory import removals
 from acaciamoor.directory import routes
 from acaciamoor.directory import upstreams
 
-
-class DirectorySettings(msgspec.Struct, frozen=True):
-    """Settings for the retention of removed entries.
-
-    Parameters
-    ----------
-    retention : datetime.timedelta
-        Time for which open flows still reach an upstream after its entry was
-        removed. Flows on the platform live for 60 s at most.
-    mass_removal_grace : datetime.timedelta
-        Time for which new flows may still use an upstream after its entry was
-        removed together with most entries of the service. Entries that
-        expired in an outage of the store are back within about 2 s; an
-        upstream must get no new flows 3 s after it has left.
-    """
-
-    retention: datetime.timedelta = datetime.timedelta(seconds=60)
-    mass_removal_grace: datetime.timedelta = datetime.timedelta(seconds=2)
-
-
-class _RemovedEntry(msgspec.Struct, frozen=True):
-    entry: upstreams.UpstreamEntry
-    at: datetime.timedelta
-
-
 # Minimum share of a service's upstreams that must remain listed. Below it, the
 # removals are attributed to an outage of the store during the grace period.
 _MIN_REMAINING_SHARE = 0.5
@@ -53,14 +27,16 @@
         Settings for the retention of removed entries.
     """
 
-    def __init__(self, settings: DirectorySettings | None = None) -> None:
-        self._settings = settings or DirectorySettings()
+    def __init__(
+        self, settings: removals.DirectorySettings | None = None
+    ) -> None:
+        self._settings = settings or removals.DirectorySettings()
         self._table: routes.RouteTable | None = None
         self._upstreams_listed = False
         self._entries_by_id: dict[
             model.UpstreamId, upstreams.UpstreamEntry
         ] = {}
-        self._removed_by_id: dict[model.UpstreamId, _RemovedEntry] = {}
+        self._removed_by_id: dict[model.UpstreamId, removals.RemovedEntry] = {}
         self._indexes_by_address: dict[
             tokens.ServiceAddress, tokens.TokenIndex
         ] = {}
@@ -121,12 +97,30 @@
         self,
         upstream_id: model.UpstreamId,
         now: datetime.timedelta,
+        contact: removals.StoreContact | None = None,
     ) -> bool:
-        """Mark an entry as removed; False if there is none."""
+        """Mark an entry as removed; False if there is none.
+
+        Parameters
+        ----------
+        upstream_id : UpstreamId
+            Identifier of the upstream.
+        now : datetime.timedelta
+            Current time.
+        contact : StoreContact or None
+            What the host knew of the store until now; None if the store had
+            the entry just now.
+        """
         entry = self._entries_by_id.pop(upstream_id, None)
         if entry is None:
             return False
-        self._removed_by_id[upstream_id] = _RemovedEntry(entry, now)
+        self._removed_by_id[upstream_id] = removals.RemovedEntry(
+            entry,
+            now,
+            removals.find_end_of_grace(
+                now, contact or removals.StoreContact(now), self._settings
+            ),
+        )
         self._invalidate_caches(False)
         return True
 
@@ -184,7 +178,7 @@
         expired = [
             upstream_id
             for upstream_id, removed in self._removed_by_id.items()
-            if removed.at < limit
+            if removed.learned_at < limit
         ]
         for upstream_id in expired:
             del self._removed_by_id[upstream_id]
@@ -221,21 +215,18 @@
             len(present) + len(removed_entries)
         ):
             active.extend(removed.entry for removed in removed_entries)
-            expiry = self._settings.mass_removal_grace + min(
-                removed.at for removed in removed_entries
-            )
+            expiry = min(removed.grace_ends_at for removed in removed_entries)
             if self._next_expiry is None or expiry < self._next_expiry:
                 self._next_expiry = expiry
         return tuple(sorted(active, key=lambda item: item.upstream_id))
 
     def _recently_removed(
         self, service: str, now: datetime.timedelta
-    ) -> list[_RemovedEntry]:
-        limit = now - self._settings.mass_removal_grace
+    ) -> list[removals.RemovedEntry]:
         return [
             removed
             for removed in self._removed_by_id.values()
             if removed.entry.service == service
-            and removed.at > limit
+            and now < removed.grace_ends_at
             and removed.entry.upstream.takes_new_work
         ]
--- a/acaciamoor/directory/tests/builders.py
+++ b/acaciamoor/directory/tests/builders.py
@@ -9,6 +9,8 @@
 ADDRESS = (0xC6120001, 443)
 SERVICE = 'order-desk'
 SECOND = datetime.timedelta(seconds=1)
+CHANGE_BOUND = 3 * SECOND
+RECOVERY_BOUND = 4 * SECOND
 STARTED_AT = datetime.datetime(2026, 4, 17, tzinfo=datetime.UTC)
 
 
--- a/acaciamoor/directory/tests/test_directory.py
+++ b/acaciamoor/directory/tests/test_directory.py
@@ -121,6 +121,85 @@
         late = routing.candidates(builders.SERVICE, 12.1 * SECOND)
         self.assertEqual(['desk-3'], names(late))
 
+    def remove_most(self, now, contact):
+        """Return a directory after 3 of 4 upstreams were removed at once."""
+        routing = builders.new_directory(
+            *(builders.upstream_entry(f'desk-{number}') for number in range(4))
+        )
+        for number in range(3):
+            routing.remove_upstream(f'desk-{number}', now, contact)
+        return routing
+
+    def test_late_news_of_a_mass_removal_does_not_extend_its_bound(self):
+        """Guards against new flows at upstreams that are gone (review/3).
+
+        The store answers all the while, but the host learns of a removal
+        1.8 s after it had the list before. The removal may be as old.
+        """
+        listed_at = 10 * SECOND
+        routing = self.remove_most(
+            listed_at + 1.8 * SECOND, directory.StoreContact(listed_at)
+        )
+        early = routing.candidates(builders.SERVICE, listed_at + 2.5 * SECOND)
+        self.assertEqual(4, len(early))
+        late = routing.candidates(
+            builders.SERVICE, listed_at + builders.CHANGE_BOUND
+        )
+        self.assertEqual(['desk-3'], names(late))
+
+    def test_upstreams_that_expired_in_an_outage_stay_in_use(self):
+        """Guards against losing a service when the store comes back.
+
+        Entries expire while upstreams cannot reach the store, and are back
+        within 2 s. Calls of this host failed until the store came back.
+        """
+        for failed_for in (0.1, 0.8, 1.9):
+            back_at = 30 * SECOND
+            failed_at = back_at - failed_for * SECOND
+            routing = self.remove_most(
+                back_at, directory.StoreContact(20 * SECOND, failed_at)
+            )
+            with self.subTest(failed_for=failed_for):
+                kept = routing.candidates(
+                    builders.SERVICE, back_at + 1.75 * SECOND
+                )
+                self.assertEqual(4, len(kept))
+                late = routing.candidates(
+                    builders.SERVICE, back_at + 2 * SECOND
+                )
+                self.assertEqual(['desk-3'], names(late))
+
+    def test_host_that_was_cut_off_keeps_its_bound(self):
+        """Guards against new flows at upstreams that are gone.
+
+        A host cannot tell a cut of its own path from an outage. It must be up
+        to date 4 s after the end of a cut, which is after the start of its
+        last call that failed.
+        """
+        failed_at = 30 * SECOND
+        routing = self.remove_most(
+            failed_at + 3.2 * SECOND,
+            directory.StoreContact(20 * SECOND, failed_at),
+        )
+        late = routing.candidates(
+            builders.SERVICE, failed_at + builders.RECOVERY_BOUND
+        )
+        self.assertEqual(['desk-3'], names(late))
+
+    def test_old_list_without_failed_calls_gives_no_grace(self):
+        """Guards against new flows at upstreams that are gone.
+
+        The process was stopped, and the store answers its first call.
+        """
+        for contact in (
+            directory.StoreContact(20 * SECOND),
+            directory.StoreContact(20 * SECOND, 19 * SECOND),
+            directory.StoreContact(None),
+        ):
+            routing = self.remove_most(30 * SECOND, contact)
+            found = routing.candidates(builders.SERVICE, 30 * SECOND)
+            self.assertEqual(['desk-3'], names(found))
+
     def test_single_removed_upstream_gets_no_new_flows(self):
         """Guards against new flows at an upstream that has left."""
         routing = builders.new_directory(
--- a/acaciamoor/forwarder/shell/adoption.py
+++ b/acaciamoor/forwarder/shell/adoption.py
@@ -1,6 +1,7 @@
 """Applies changes from the store to the directory."""
 
 import collections.abc
+import datetime
 import logging
 
 from acaciamoor import clock as clocks
@@ -55,9 +56,12 @@
         replica: replicas.Replica,
         events: list[platform.WatchEvent],
         source: str,
+        failed_at: datetime.timedelta | None = None,
     ) -> None:
         """Apply events that a replica has accepted.
 
+        The confirmation of the replica is the last one before the events.
+
         Parameters
         ----------
         replica : Replica
@@ -66,12 +70,18 @@
             Accepted changes.
         source : str
             Name of the store or relay that sent them, for the log.
+        failed_at : datetime.timedelta or None
+            Start of the last call to the store that failed; None if none has.
         """
         if replica.kind == self._schema.routes_kind:
             for event in events:
                 self._apply_routes(event, source)
         else:
-            self._apply_upstreams(events, source)
+            confirmation = replica.confirmation
+            contact = directories.StoreContact(
+                None if confirmation is None else confirmation.at, failed_at
+            )
+            self._apply_upstreams(events, source, contact)
             if replica.initialized:
                 self._directory.confirm_entries(replica.version)
         if events:
@@ -82,13 +92,16 @@
         self._core.placer.local_hosts = count
 
     def _apply_upstreams(
-        self, events: list[platform.WatchEvent], source: str
+        self,
+        events: list[platform.WatchEvent],
+        source: str,
+        contact: directories.StoreContact,
     ) -> None:
         initial = not self._directory.entries_by_id
         changed_by_state: dict[str, list[platform.StoredObject]] = {}
         for event in events:
             if event.stored is not None:
-                state = self._apply_upstream_safely(event)
+                state = self._apply_upstream_safely(event, contact)
                 if state:
                     changed_by_state.setdefault(state, []).append(event.stored)
         if initial and events:
@@ -119,22 +132,32 @@
                 extra={'version': table.version},
             )
 
-    def _apply_upstream_safely(self, event: platform.WatchEvent) -> str:
+    def _apply_upstream_safely(
+        self,
+        event: platform.WatchEvent,
+        contact: directories.StoreContact,
+    ) -> str:
         # The replica has accepted the whole batch: events after one that fails
         # would be lost for good.
         try:
-            return self._apply_upstream(event)
+            return self._apply_upstream(event, contact)
         except Exception:
             _LOG.exception(
                 'upstream %s is not used: its entry cannot be processed',
                 event.stored.name,
             )
             self._directory.remove_upstream(
-                model.UpstreamId(event.stored.name), self._clock.monotonic()
+                model.UpstreamId(event.stored.name),
+                self._clock.monotonic(),
+                contact,
             )
             return ''
 
-    def _apply_upstream(self, event: platform.WatchEvent) -> str:
+    def _apply_upstream(
+        self,
+        event: platform.WatchEvent,
+        contact: directories.StoreContact,
+    ) -> str:
         """Apply a change; return the new state, empty if nothing changed."""
         now = self._clock.monotonic()
         upstream_id = model.UpstreamId(event.stored.name)
@@ -142,7 +165,9 @@
         if event.event_type is platform.EventType.PUT:
             entry = self._schema.decode_upstream(event.stored)
         if entry is None:
-            removed = self._directory.remove_upstream(upstream_id, now)
+            removed = self._directory.remove_upstream(
+                upstream_id, now, contact
+            )
             return 'gone' if removed else ''
         if not self._directory.put_upstream(entry):
             return ''
--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/following.py
@@ -198,7 +198,7 @@
         base = replica.version
         events = replica.apply(batch)
         self._record_era(versions.get_era(replica.version), source)
-        self._updater.apply(replica, events, source)
+        self._updater.apply(replica, events, source, self._failed_at)
         confirmed = confirm()
         if replica.version != base:
             # Also without events: listeners that stay at an older version
@@ -207,6 +207,18 @@
         elif confirmed:
             self._server.pass_on_confirmation()
 
+    @property
+    def _failed_at(self) -> datetime.timedelta | None:
+        """Start of the last call to the store that failed, if any has."""
+        return max(
+            (
+                source.failed_at
+                for source in self._sources
+                if source.failed_at is not None
+            ),
+            default=None,
+        )
+
     def _record_era(self, era: int, source: str) -> None:
         if self._last_era is not None and era > self._last_era:
             _LOG.warning(
--- a/acaciamoor/forwarder/shell/limits.py
+++ b/acaciamoor/forwarder/shell/limits.py
@@ -104,11 +104,16 @@
         return replicas.AgeLimits(
             standby=self.change_bound * _STANDBY_AGE_SHARE,
             branch=self.change_bound * _BRANCH_AGE_SHARE,
-            listener=self.change_bound * _LISTENER_AGE_SHARE,
+            listener=self.max_list_age,
             connect_grace=RELAY_CONNECT_GRACE,
             search_period=search_period,
         )
 
+    @property
+    def max_list_age(self) -> datetime.timedelta:
+        """Age of a replica above which each host calls the store itself."""
+        return self.change_bound * _LISTENER_AGE_SHARE
+
     @property
     def watch_calls(self) -> polling.LongPollSettings:
         """Limits for long polls of hosts that use no relays."""
--- a/acaciamoor/forwarder/shell/sources.py
+++ b/acaciamoor/forwarder/shell/sources.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import datetime
 import functools
 import logging
@@ -50,6 +51,32 @@
     refresh: platform.Transport
 
 
+class _ObservedTransport:
+    """Transport of one source that records calls which fail.
+
+    A lost history is no failure: the store responds.
+    """
+
+    def __init__(
+        self, transport: platform.Transport, source: 'StoreSource'
+    ) -> None:
+        self._transport = transport
+        self._source = source
+
+    async def read_all(self, kind: str) -> platform.Listing:
+        """Return the objects of a kind."""
+        with self._source.observe_call():
+            return await self._transport.read_all(kind)
+
+    async def stream(
+        self, kind: str, after_version: int
+    ) -> collections.abc.AsyncIterator[platform.WatchEvent]:
+        """Yield the changes of one call, then a bookmark."""
+        with self._source.observe_call():
+            async for event in self._transport.stream(kind, after_version):
+                yield event
+
+
 class StoreSource:
     """Calls the store to keep a replica up to date.
 
@@ -88,6 +115,20 @@
         self._call_mode = replicas.CallMode.NONE
         self._task: asyncio.Task[None] | None = None
         self._listed_at: datetime.timedelta | None = None
+        # Start of the last call that failed.
+        self.failed_at: datetime.timedelta | None = None
+
+    @contextlib.contextmanager
+    def observe_call(self) -> collections.abc.Iterator[None]:
+        """Record when a call was started if it fails."""
+        started_at = self._clock.monotonic()
+        try:
+            yield
+        except platform.VersionExpired:
+            raise
+        except platform.StoreError:
+            self.failed_at = started_at
+            raise
 
     async def read_initial_listing(
         self, seed_wait: datetime.timedelta, seeds_failed: asyncio.Event
@@ -112,7 +153,8 @@
         sent_at = self._clock.monotonic()
         self._calls.add(call='list', kind=replica.kind)
         try:
-            listing = await self._store.watch.read_all(replica.kind)
+            transport = _ObservedTransport(self._store.watch, self)
+            listing = await transport.read_all(replica.kind)
         except platform.StoreError as error:
             _LOG.warning('first listing of %s failed: %r', replica.kind, error)
             return
@@ -182,7 +224,7 @@
         }[mode]
         base = replica.version
         watch = watching.ResumingWatch(
-            transport,
+            _ObservedTransport(transport, self),
             replica.kind,
             base,
             platform.Backoff(
--- a/acaciamoor/forwarder/tests/test_adoption.py
+++ b/acaciamoor/forwarder/tests/test_adoption.py
@@ -10,6 +10,8 @@
 from acaciamoor.forwarder.shell import adoption
 from acaciamoor.forwarder.tests import builders
 
+SECOND = directory_builders.SECOND
+SERVICE = directory_builders.SERVICE
 UPSTREAMS = 'upstreams'
 LOGGER = 'acaciamoor.forwarder.shell.adoption'
 
@@ -43,11 +45,12 @@
     def setUp(self):
         self.directory = directory.Directory()
         self.replica = replica.Replica(UPSTREAMS)
+        self.clock = clock.ManualClock()
         self.updater = adoption.DirectoryUpdater(
             StoreSchema(),
             self.directory,
             builders.core(self.directory),
-            clock.ManualClock(),
+            self.clock,
             lambda: None,
         )
 
@@ -86,6 +89,49 @@
         lines = self.apply('desk-2', 'desk-3', version=8)
         self.assertEqual(['upstream is active, learned from store'] * 2, lines)
 
+    def remove(self, *names: str, version: int, failed_at=None) -> None:
+        """Remove objects; the confirmation of the replica stays old."""
+        removed = tuple(
+            platform.WatchEvent(
+                platform.EventType.DELETED,
+                version,
+                platform.StoredObject(UPSTREAMS, name, version, {}),
+            )
+            for name in names
+        )
+        batch = replica.Batch(self.replica.version, version, removed)
+        self.updater.apply(
+            self.replica, self.replica.apply(batch), 'store', failed_at
+        )
+
+    def count_candidates(self) -> int:
+        """Return how many upstreams accept new flows now."""
+        now = self.clock.monotonic()
+        return len(self.directory.candidates(SERVICE, now))
+
+    def test_grace_counts_from_the_last_confirmation(self):
+        """Guards against a grace that begins when a host hears of a removal.
+
+        A relay that is cut off delays the news, not the removal (review/3).
+        """
+        self.apply('desk-1', 'desk-2', 'desk-3', version=7)
+        self.replica.confirm_by_store(7, self.clock.monotonic())
+        self.clock.advance(1.8 * SECOND)
+        self.remove('desk-1', 'desk-2', version=9)
+        self.assertEqual(3, self.count_candidates())
+        self.clock.advance(1.2 * SECOND)
+        self.assertEqual(1, self.count_candidates())
+
+    def test_grace_counts_from_the_end_of_an_outage(self):
+        """Guards against a service that is lost when the store comes back."""
+        self.apply('desk-1', 'desk-2', 'desk-3', version=7)
+        self.replica.confirm_by_store(7, self.clock.monotonic())
+        self.clock.advance(6 * SECOND)
+        failed_at = self.clock.monotonic() - SECOND
+        self.remove('desk-1', 'desk-2', version=9, failed_at=failed_at)
+        self.clock.advance(1.9 * SECOND)
+        self.assertEqual(3, self.count_candidates())
+
     def test_many_changes_in_a_batch_share_a_line(self):
         """Guards against 28,000 lines while the upstreams of a site start."""
         self.apply('desk-1', version=7)
--- a/acaciamoor/forwarder/tests/test_following.py
+++ b/acaciamoor/forwarder/tests/test_following.py
@@ -44,7 +44,7 @@
         self.names_by_source = {}
         self.changed = asyncio.Event()
 
-    def apply(self, replica, events, source):
+    def apply(self, replica, events, source, failed_at=None):
         names = self.names_by_source.setdefault(source, set())
         names.update(event.stored.name for event in events)
         self.changed.set()
--- a/acaciamoor/forwarder/tests/test_sources.py
+++ b/acaciamoor/forwarder/tests/test_sources.py
@@ -1,6 +1,7 @@
 """Calls to the store that keep a replica up to date."""
 
 import asyncio
+import datetime
 import random
 import unittest
 
@@ -11,6 +12,8 @@
 from acaciamoor.replica.tests import builders
 from acaciamoor.telemetry import exposition
 
+SECOND = datetime.timedelta(seconds=1)
+
 
 class ExpiredStore:
     """Transport whose history is gone, with a listing."""
@@ -28,6 +31,23 @@
         yield None
 
 
+class FailingStore(ExpiredStore):
+    """Transport whose calls fail after a second, until they respond."""
+
+    def __init__(self, listing: platform.Listing, manual_clock) -> None:
+        super().__init__(listing)
+        self._clock = manual_clock
+        self.failures_left = 1
+
+    async def stream(self, kind, after_version):
+        if self.failures_left:
+            self.failures_left -= 1
+            self._clock.advance(SECOND)
+            raise platform.TimedOut('cut')
+        async for event in super().stream(kind, after_version):
+            yield event
+
+
 class StoreSourceTest(unittest.IsolatedAsyncioTestCase):
     async def test_listing_removes_what_another_host_has_learned_since(self):
         """Guards against an upstream that is gone and stays at other hosts.
@@ -57,6 +77,30 @@
         self.assertEqual({'a'}, ahead.names)
         await task
 
+    async def test_start_of_a_failed_call_is_known(self):
+        """Guards against a host that cannot tell an outage from late news.
+
+        The history is gone when the store responds again, which is no failure.
+        """
+        manual_clock = clock.ManualClock()
+        manual_clock.advance(7 * SECOND)
+        store = FailingStore(platform.Listing(9, ()), manual_clock)
+        applied = asyncio.Event()
+        source = sources.StoreSource(
+            builders.new_replica(5),
+            sources.StoreTransports(store, store, store),
+            lambda *_: applied.set(),
+            exposition.Counter('calls', 'Calls.'),
+            manual_clock,
+            random.Random(1),
+        )
+        self.assertIsNone(source.failed_at)
+        task = asyncio.create_task(source._run(replica.CallMode.REFRESH))
+        async with asyncio.timeout(10):
+            await applied.wait()
+        await task
+        self.assertEqual(7 * SECOND, source.failed_at)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/acaciamoor/platform/lenient_json.py
+++ b/acaciamoor/platform/lenient_json.py
@@ -26,7 +26,7 @@
 
     Examples
     --------
-    >>> decode(b'{"b": "\\ud800", "c": 3}', dict)['c']
+    >>> decode(b'{"b": "\\\\ud800", "c": 3}', dict)['c']
     3
     """
     try:
