Date an answer without changes by the end of its wait, not by its reading

A host takes its lists for as old as the last answer of the store, which it dated by the time of reading. A process that is stopped between both, for less than the 1.5 s at which it notices, believed an old list to be current, and so did its listeners.

Without changes the store answers at the end of the wait that the call asked for, which the host knows. An answer with changes is still dated by its reading: nothing tells when in the wait it was sent. That part stays open.

Before: test_response_that_is_read_late_is_as_old_as_the_wait failed (0.0 s instead of more than 0.5 s). After: it passes.

--- a/acaciamoor/platform/polling.py
+++ b/acaciamoor/platform/polling.py
@@ -143,6 +143,8 @@
             platform was restored since.
         """
         settings = self._settings
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         request = self._dialect.wait(
             kind, after_version, settings.poll_timeout
         )
@@ -150,12 +152,19 @@
             request, settings.poll_timeout, versions.get_era(after_version)
         )
         changes = self._decode(self._dialect.decode_changes, kind, response)
+        transfer_time = response.transfer_time
+        if not changes.events:
+            # The platform has waited for all of the time. The process may have
+            # been stopped since, and the response have waited to be read.
+            waited_until = started_at + settings.poll_timeout.total_seconds()
+            late = datetime.timedelta(seconds=loop.time() - waited_until)
+            transfer_time = max(transfer_time, late)
         for event in changes.events:
             yield event
         yield objects.WatchEvent(
             objects.EventType.BOOKMARK,
             max(changes.version, after_version),
-            transfer_time=response.transfer_time,
+            transfer_time=transfer_time,
         )
 
     async def _read(
--- a/acaciamoor/platform/tests/test_polling.py
+++ b/acaciamoor/platform/tests/test_polling.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import datetime
+import socket
+import threading
+import time
 import unittest
 from unittest import mock
 
@@ -189,6 +192,53 @@
         listing = await transport.read_all('desk')
         self.assertGreaterEqual(listing.transfer_time, 1.5 * TIMEOUT)
 
+    async def test_response_that_is_read_late_is_as_old_as_the_wait(self):
+        """Guards against hosts that take an old list for a current one.
+
+        The process is stopped between the response and its reading. Without
+        changes the platform responds at the end of the wait.
+        """
+        address = self.start_thread()
+        transport = polling.LongPollTransport(
+            address,
+            StubDialect(),
+            polling.LongPollSettings(poll_timeout=TIMEOUT),
+        )
+        stopped = 0.6
+
+        async def read_bookmark():
+            return [event async for event in transport.stream('desk', 5)][-1]
+
+        task = asyncio.create_task(read_bookmark())
+        await asyncio.sleep(TIMEOUT.total_seconds() / 2)
+        time.sleep(stopped)
+        bookmark = await task
+        self.assertGreater(
+            bookmark.transfer_time.total_seconds(),
+            stopped - TIMEOUT.total_seconds(),
+        )
+
+    def start_thread(self) -> model.Address:
+        """Return the address of a platform that is not stopped.
+
+        It responds to one request at the end of its wait.
+        """
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+
+        def respond():
+            with listener.accept()[0] as connected:
+                connected.recv(4096)
+                time.sleep(TIMEOUT.total_seconds())
+                connected.sendall(
+                    b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7'
+                )
+
+        thread = threading.Thread(target=respond)
+        thread.start()
+        self.addCleanup(thread.join)
+        return model.Address(*listener.getsockname())
+
     async def test_silence_within_a_response_ends_the_call(self):
         """Guards against a store that hangs in the middle of a response."""
 
