Let the repair of a response take time in proportion to its size

Found by a trial of the new parser with odd values of 1 MB. In a string without its end, each escaped quote was tried as the start of a string: 20 KB of them took 2.55 s, and 1 MB would have stopped every host that reads the entry.

Escaped quotes outside of strings are part of a scalar now, and the repetitions give nothing back. 1 MB takes 0.04 s in that form.

Before: test_repair_takes_time_in_proportion_to_the_size did not end within 25 s.

--- a/acaciamoor/platform/tolerant_parser.py
+++ b/acaciamoor/platform/tolerant_parser.py
@@ -16,10 +16,11 @@
 _MAX_INTEGER_DIGITS = 20
 # A string, a bracket or separator, a scalar, or a quote without its end. Only
 # a bracket or separator can follow a string. Anything else shows that the
-# quote at its end begins another one.
+# quote at its end begins another one. Escaped quotes outside of strings are
+# part of a scalar, so that none of them is tried as the start of a string.
 _SYMBOL = re.compile(
-    r'"[^"\\]*(?:\\.[^"\\]*)*"(?=\s*(?:[,:\]}]|\Z))'
-    r'|[\[\]{},:]|[^\s\[\]{},:"]+|"',
+    r'"[^"\\]*+(?:\\.[^"\\]*+)*+"(?=\s*(?:[,:\]}]|\Z))'
+    r'|[\[\]{},:]|(?:[^\s\[\]{},:"\\]++|\\.)++|"',
     re.DOTALL,
 )
 _NUMBER = re.compile(
