--- a/acaciamoor/replica/tests/test_replica.py
+++ b/acaciamoor/replica/tests/test_replica.py
@@ -97,7 +97,7 @@
         """Guards against forwarders that are killed over their memory.
 
         A replica that keeps values for hosts that have fallen behind grows
-        with each configuration. Here 100 of them take some 30 MB.
+        with each configuration. Here 90 of them took 27 MB.
         """
         source = builders.new_replica(1)
         tracemalloc.start()
