Give no port twice to servers that have not started yet

Cause: find_free_address releases its port at once and chooses the next one independently, so two hosts of a test may get the same port before either listens. With 22,528 ports the chance is 0.12% for the 8 hosts of that test and 2.8% for the 36 of LargeDataCentreTest.

Ruled out: connections of other programs, as the ports are below the ephemeral range; sockets of earlier tests, as a port that is bound is not chosen.

Change: a process does not give out its last 8,192 ports again.

--- a/acaciamoor/demo/site.py
+++ b/acaciamoor/demo/site.py
@@ -1,9 +1,11 @@
 """Allocation of the addresses of a site on the loopback interface."""
 
+import collections
 import contextlib
 import dataclasses
 import secrets
 import socket
+import typing
 
 from acaciamoor import model
 
@@ -12,29 +14,40 @@
 # ask for any port: these may take a port between its release and the start of
 # the process that it is for.
 _PORTS = range(10240, 32768)
+# Number of ports, given out last, that are not given out again.
+_MAX_RECENT_PORTS = 8192
 DATA_CENTRE = model.DataCentre('kgn-a')
 
 
 class PortAllocator:
     """Allocates distinct free ports of the loopback interface.
 
-    All allocated ports stay bound until `release`.
+    All allocated ports stay bound until `release`. No allocator of a process
+    gives out a port that another one gave out recently, since the port may
+    have been released for a server that has not started yet.
     """
 
+    _recent_ports: typing.ClassVar[collections.deque[int]] = collections.deque(
+        maxlen=_MAX_RECENT_PORTS
+    )
+
     def __init__(self) -> None:
         self._sockets = contextlib.ExitStack()
 
     def allocate_address(self) -> model.Address:
         """Return an address whose port is free for both UDP and TCP."""
         while True:
+            port = secrets.choice(_PORTS)
+            if port in self._recent_ports:
+                continue
             datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self._sockets.callback(datagram.close)
             self._sockets.callback(stream.close)
-            port = secrets.choice(_PORTS)
             with contextlib.suppress(OSError):
                 datagram.bind((_IP, port))
                 stream.bind((_IP, port))
+                self._recent_ports.append(port)
                 return model.Address(_IP, port)
 
     def release(self) -> None:
--- a/acaciamoor/demo/tests/test_site.py
+++ b/acaciamoor/demo/tests/test_site.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import unittest
+from unittest import mock
 
 from acaciamoor.demo import site
 
@@ -30,6 +31,16 @@
                     )
                     sock.bind(('127.0.0.1', port))
 
+    def test_port_is_not_given_twice_before_it_is_used(self):
+        """Guards against two hosts of one test that get the same port.
+
+        Tests take the addresses of many hosts, one at a time, before they
+        start the first of them.
+        """
+        with mock.patch.object(site, '_PORTS', range(20000, 20060)):
+            ports = [site.find_free_address().port for _ in range(30)]
+        self.assertEqual(len(ports), len(set(ports)))
+
 
 if __name__ == '__main__':
     unittest.main()
