Split a damaged listing into its objects before they are repaired

While an entry whose bytes are no JSON lay in the store, hosts learned of no change of the upstreams, or missed those of the upstreams that follow it.

Cause: the tolerant parser read a whole response and decided by brackets and quotes, which belong to the writer of a value, where the next object begins. So a bracket too many ended the document, one too few took in the objects after it, and 65 open brackets without an end were refused with everything else.

Ruled out: a larger limit of nesting, since text without an end has no depth that is enough; values without their context, since the strict parser reads the same objects one at a time.

Change: what the store itself writes, a separator and the beginning of an object, divides the list. Each object is then read alone, and the tolerant parser loses its rules for lists. A value that holds the beginning of an object is not divided as long as it is JSON. A document that a bracket ends before its last fields is repaired as well.

--- a/acaciamoor/platform/lenient_json.py
+++ b/acaciamoor/platform/lenient_json.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from acaciamoor.platform import damaged_lists
 from acaciamoor.platform import tolerant_parser
 
 _LOG = logging.getLogger(__name__)
@@ -31,14 +32,17 @@
     """
     try:
         return msgspec.json.decode(body, type=document_type)
-    except msgspec.ValidationError:
-        raise
     except (RecursionError, UnicodeDecodeError, msgspec.DecodeError) as error:
+        # A bracket too many ends the document before its last fields.
+        if isinstance(
+            error, msgspec.ValidationError
+        ) and damaged_lists.is_valid(body):
+            raise
         # Another writer may store what is not valid JSON. Replacing it damages
         # only that value instead of losing the whole response.
         _LOG.warning('replacing what cannot be read in a document: %s', error)
         return msgspec.json.decode(
-            tolerant_parser.repair(bytes(body)), type=document_type
+            damaged_lists.repair(bytes(body)), type=document_type
         )
 
 
--- a/acaciamoor/platform/tolerant_parser.py
+++ b/acaciamoor/platform/tolerant_parser.py
@@ -28,9 +28,8 @@
 )
 _ESCAPE = re.compile(r'\\(["\\/bfnrt]|u[0-9a-fA-F]{4})?')
 _CONSTANTS_BY_SYMBOL = {'true': True, 'false': False, 'null': None}
-# Level of the document, and of an array that is one of its fields.
+# Level of the document in the stack.
 _DOCUMENT_LEVEL = 0
-_OUTER_ARRAY_LEVEL = 1
 
 
 class _Object(msgspec.Struct):
@@ -69,17 +68,15 @@
 class TolerantParser:
     """Parses a document; what cannot be read becomes null.
 
-    A malformed value affects only itself, or, if brackets or quotes are
-    missing, what follows in the nearest item of an array. An array that is a
-    field of the document ends at its own bracket or at the last one of the
-    document, so that the items after a malformed one are read.
+    Brackets and quotes that are missing, or are too many, affect what follows
+    up to the end of the document.
 
     Examples
     --------
-    >>> TolerantParser().parse('{"a": [{"b": 1e400}, {"b": [}, {"c": 2}]}')
-    {'a': [{'b': None}, {'b': []}, {'c': 2}]}
-    >>> TolerantParser().parse('{"a": [{"b": "x}, {"c": 2}], "d": 3}')
-    {'a': [{'b': None}, {'c': 2}], 'd': 3}
+    >>> TolerantParser().parse('{"a": [1e400, {"b": [}, 2], "c": 3}')
+    {'a': [None, {'b': []}, 2], 'c': 3}
+    >>> TolerantParser().parse('{"a": {"b": "x, "c": 3')
+    {'a': {'b': None, 'c': 3}}
     """
 
     def __init__(self) -> None:
@@ -87,41 +84,22 @@
         self._stack: list[_Object | _Array] = []
         # Number of open brackets below the maximum depth.
         self._skipped_levels = 0
-        self._last_array_end = -1
 
     def parse(self, text: str) -> object:
-        """Return the value of a document; None if there is none.
-
-        Raises
-        ------
-        ValueError
-            If the end of a deeply nested value cannot be found, so that
-            values after it would be lost.
-        """
-        self._last_array_end = text.rfind(']')
+        """Return the value of a document; None if there is none."""
         for match in _SYMBOL.finditer(text):
-            self._take(match[0], match.start())
+            self._take(match[0])
             if not self._stack and self._root.value:
                 break
-        self._check_skipped_levels()
         return self._root.value[0] if self._root.value else None
 
-    def _check_skipped_levels(self) -> None:
-        if self._skipped_levels:
-            raise ValueError(
-                f'a value nested deeper than {MAX_DEPTH} has no end'
-            )
-
-    def _take(self, symbol: str, position: int) -> None:
+    def _take(self, symbol: str) -> None:
         if symbol in '{[':
             self._open(symbol)
         elif symbol == '}':
-            self._close(_Object, _DOCUMENT_LEVEL)
-        elif position == self._last_array_end:
-            self._check_skipped_levels()
-            self._close(_Array, _DOCUMENT_LEVEL)
+            self._close(_Object)
         elif symbol == ']':
-            self._close(_Array, _OUTER_ARRAY_LEVEL)
+            self._close(_Array)
         elif self._skipped_levels or symbol == ':':
             return
         elif symbol == ',':
@@ -149,20 +127,18 @@
         self._top.add(opened.value)
         self._stack.append(opened)
 
-    def _close(
-        self, container_type: type[_Object | _Array], protected_level: int
-    ) -> None:
+    def _close(self, container_type: type[_Object | _Array]) -> None:
         """Close the innermost container of a type, and those within it.
 
-        Containers at `protected_level` and above are closed only if nothing
-        is open within them: the bracket is one too many otherwise.
+        The document is closed only if nothing is open within it: the bracket
+        is one too many otherwise.
         """
         if self._skipped_levels:
             self._skipped_levels -= 1
             return
         if not isinstance(self._top, container_type):
             level = self._find_level(container_type)
-            if level is None or level <= protected_level:
+            if level is None or level <= _DOCUMENT_LEVEL:
                 return
             self._close_down_to(level)
         if self._stack:
@@ -210,15 +186,3 @@
         return None
     integer = int(symbol)
     return integer if MIN_INTEGER <= integer <= MAX_INTEGER else None
-
-
-def repair(body: bytes) -> bytes:
-    """Return a document without what strict parsers refuse.
-
-    Examples
-    --------
-    >>> repair(b'{"a": NaN, "b": "\\\\ud800", "c": 1e400, "d": "\\xff"}')
-    b'{"a":null,"b":"?","c":null,"d":"\\xef\\xbf\\xbd"}'
-    """
-    text = body.decode(errors='replace')
-    return msgspec.json.encode(TolerantParser().parse(text))
