Keep versions instead of values of the objects that the store client knows

Nobody has reported it.

Cause: PlatformStore remembers the last 1,024 objects whole, whatever their size. The store holds values of 1 MB, so that a balancer or the operator API may keep 1 GB. The forwarders do not use this class.

Ruled out: that the values are needed. An update takes the version and the latest changes of the object that it replaces; a conflict carries an object that was just read, as test_conflict_tells_the_present_value shows before and after.

Change: the objects are remembered without their values.

Before: test_store_keeps_no_values found 10.0 MB in use after 100 reads of 100 KB, now below its limit of 1 MB.

--- a/acaciamoor/platform/store.py
+++ b/acaciamoor/platform/store.py
@@ -5,6 +5,8 @@
 import random
 import uuid
 
+import msgspec
+
 from acaciamoor.platform import backoff as backoffs
 from acaciamoor.platform import errors
 from acaciamoor.platform import objects
@@ -15,7 +17,8 @@
 # unknown. With the default backoff they take about one second if every request
 # fails immediately.
 MAX_ATTEMPTS = 5
-_MAX_CACHED_OBJECTS = 1024
+# Known objects without their values, which may have 1 MB each.
+_MAX_KNOWN_OBJECTS = 1024
 
 
 class PlatformStore:
@@ -47,13 +50,14 @@
         self._transport = transport
         self._random = random_source or random.SystemRandom()
         self._sleep = sleep
-        self._cache: collections.OrderedDict[
+        # An update needs the version of an object and its latest changes.
+        self._known_objects: collections.OrderedDict[
             tuple[str, str], objects.StoredObject
         ] = collections.OrderedDict()
 
     async def get(self, kind: str, name: str) -> objects.StoredObject:
         """Return an object."""
-        return self._cache_object(await self._transport.read(kind, name))
+        return self._remember(await self._transport.read(kind, name))
 
     async def list(
         self, kind: str, selector: objects.FieldSelector | None = None
@@ -151,11 +155,11 @@
             None if base is None else base.version,
         )
         try:
-            return self._cache_object(await self._transport.write(write))
+            return self._remember(await self._transport.write(write))
         except errors.Conflict:
-            return self._cache_object(await self._resolve_conflict(write))
+            return self._remember(await self._resolve_conflict(write))
         except errors.OutcomeUnknown:
-            return self._cache_object(
+            return self._remember(
                 await self._resolve_lost_response(write, base)
             )
 
@@ -206,7 +210,11 @@
     async def _read_base(
         self, kind: str, name: str, expected_version: int
     ) -> objects.StoredObject:
-        base = self._cache.get((kind, name))
+        """Return an object at `expected_version`, perhaps without its value.
+
+        Only its version and its changes are of use.
+        """
+        base = self._known_objects.get((kind, name))
         if base is None or base.version != expected_version:
             base = await self.get(kind, name)
         if base.version < expected_version:
@@ -234,12 +242,10 @@
         except errors.StoreError:
             return None
 
-    def _cache_object(
-        self, stored: objects.StoredObject
-    ) -> objects.StoredObject:
+    def _remember(self, stored: objects.StoredObject) -> objects.StoredObject:
         key = (stored.kind, stored.name)
-        self._cache[key] = stored
-        self._cache.move_to_end(key)
-        if len(self._cache) > _MAX_CACHED_OBJECTS:
-            self._cache.popitem(last=False)
+        self._known_objects[key] = msgspec.structs.replace(stored, value={})
+        self._known_objects.move_to_end(key)
+        if len(self._known_objects) > _MAX_KNOWN_OBJECTS:
+            self._known_objects.popitem(last=False)
         return stored
--- a/acaciamoor/platform/tests/test_store.py
+++ b/acaciamoor/platform/tests/test_store.py
@@ -3,6 +3,7 @@
 import datetime
 import itertools
 import random
+import tracemalloc
 import unittest
 
 from acaciamoor import platform
@@ -92,6 +93,45 @@
 SECOND = datetime.timedelta(seconds=1)
 
 
+class LargeObjectTransport:
+    """Transport whose objects have large values."""
+
+    VALUE_BYTES = 100_000
+
+    async def read(self, kind, name):
+        return platform.StoredObject(
+            kind, name, 7, {'text': ' ' * self.VALUE_BYTES}
+        )
+
+
+class MemoryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_store_keeps_no_values(self):
+        """Guards against processes that exceed their memory.
+
+        A store remembers 1,024 objects that it has read, each of which may
+        have a value of 1 MB.
+        """
+        store = platform.PlatformStore(LargeObjectTransport())
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for number in range(100):
+            await store.get(KIND, f'desk-{number}')
+        used, _ = tracemalloc.get_traced_memory()
+        self.assertLess(used, 10 * LargeObjectTransport.VALUE_BYTES)
+
+    async def test_conflict_tells_the_present_value(self):
+        """Guards against callers that merge their change with nothing."""
+        table = tables.ObjectTable()
+        other = builders.store(table, seed=99)
+        first = await other.create(KIND, 'desk', {'a': 1})
+        store = builders.store(table)
+        await store.get(KIND, 'desk')
+        await other.update(KIND, 'desk', {'a': 2}, first.version)
+        with self.assertRaises(platform.Conflict) as raised:
+            await store.update(KIND, 'desk', {'a': 3}, first.version)
+        self.assertEqual({'a': 2}, raised.exception.stored.value)
+
+
 class ReplayTransport:
     """Transport that replays listings, streams of events, and errors."""
 
