Date responses by the last time at which the event loop looked for data

What callers may see: a relay that is stopped for less than 1.5 s right between a response with changes and its reading, and again at once, tells other hosts that an old list is current. They go on sending new flows to a draining upstream beyond the bound, and are in touch all the while.

Cause: a response with changes was dated by the reading of its first byte. One without changes was dated by the end of its wait, which does not help where the platform responds earlier. Both used the time of the event loop, which stands still while a callback runs, also if the process is stopped there.

Ruled out: dating a response by its request, which would make a list as old as the wait and cause calls of the standby; a threshold above which a process counts as stopped, since several short stops add up.

Change: while a connection waits for a response, it notes every 50 ms that the event loop runs. The loop looks for data between two such checks, so what is read after one arrived after the one before. A response is dated by that, and its age is taken by the clock that is passed in. This covers both kinds of response, and replaces the end of the wait.

--- a/acaciamoor/platform/connection.py
+++ b/acaciamoor/platform/connection.py
@@ -12,9 +12,13 @@
 import httptools
 import msgspec
 
+from acaciamoor import clock as clocks
 from acaciamoor import model
 
 _READ_BYTES = 1 << 16
+# Interval at which a connection that waits for a response notes that the event
+# loop runs.
+_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -55,14 +59,15 @@
         Headers; the names are in lower case.
     body : bytes
         Body.
-    transfer_time : datetime.timedelta
-        Time from the arrival of the first byte to that of the last one.
+    arrived_after : datetime.timedelta
+        Time of the clock after which the first byte arrived. It may have been
+        read later, for example if the process was stopped in the meantime.
     """
 
     status: int
     headers_by_name: dict[str, str]
     body: bytes
-    transfer_time: datetime.timedelta = datetime.timedelta(0)
+    arrived_after: datetime.timedelta = datetime.timedelta(0)
 
     @property
     def successful(self) -> bool:
@@ -116,6 +121,42 @@
             )
 
 
+class _ArrivalWatch:
+    """Tells after which time data arrived that is read now.
+
+    A process that is stopped, or busy, reads late what arrived meanwhile. The
+    event loop looks for data between two checks, so what is read after a check
+    arrived after the one before it.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time. The time of the event loop does not advance while one
+        of its callbacks runs, even if the process is stopped there.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._loop = asyncio.get_running_loop()
+        self._checked_at = clock.monotonic()
+        self.arrived_after = self._checked_at
+        self._timer = self._schedule_check()
+
+    def close(self) -> None:
+        """Stop the checks."""
+        self._timer.cancel()
+
+    def _schedule_check(self) -> asyncio.TimerHandle:
+        return self._loop.call_later(
+            _CHECK_INTERVAL.total_seconds(), self._check
+        )
+
+    def _check(self) -> None:
+        self.arrived_after = self._checked_at
+        self._checked_at = self._clock.monotonic()
+        self._timer = self._schedule_check()
+
+
 class HttpConnection:
     """Client connection for one request.
 
@@ -125,13 +166,19 @@
         Address to connect to.
     settings : ConnectionSettings
         Timeouts and keep-alive settings.
+    clock : Clock
+        Source of the time at which responses arrive.
     """
 
     def __init__(
-        self, address: model.Address, settings: ConnectionSettings
+        self,
+        address: model.Address,
+        settings: ConnectionSettings,
+        clock: clocks.Clock,
     ) -> None:
         self._address = address
         self._settings = settings
+        self._clock = clock
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
@@ -187,18 +234,21 @@
         ):
             raise ConnectionError('the connection is not open')
         handler = _ResponseHandler()
+        arrival = _ArrivalWatch(self._clock)
         try:
             async with asyncio.timeout(timeout.total_seconds()) as limit:
                 self._writer.write(request)
                 await self._writer.drain()
                 return await self._read_response(
-                    self._reader, handler, limit, silence_timeout
+                    self._reader, handler, arrival, limit, silence_timeout
                 )
         except TimeoutError as error:
             raise TimeoutError(
                 f'no complete response within {timeout}; '
                 f'{handler.received_bytes} bytes of the response received'
             ) from error
+        finally:
+            arrival.close()
 
     def close(self) -> None:
         """Close the connection."""
@@ -210,11 +260,12 @@
         self,
         reader: asyncio.StreamReader,
         handler: _ResponseHandler,
+        arrival: _ArrivalWatch,
         limit: asyncio.Timeout,
         silence_timeout: datetime.timedelta,
     ) -> Response:
         loop = asyncio.get_running_loop()
-        began_at = None
+        arrived_after = None
         while handler.response is None:
             data = await reader.read(_READ_BYTES)
             if not data:
@@ -222,14 +273,13 @@
                     'the server closed the connection before the response '
                     'was complete'
                 )
-            if began_at is None:
-                began_at = loop.time()
+            if arrived_after is None:
+                arrived_after = arrival.arrived_after
             handler.feed(data)
             silent_at = loop.time() + silence_timeout.total_seconds()
             limit.reschedule(max(limit.when() or 0.0, silent_at))
         return msgspec.structs.replace(
-            handler.response,
-            transfer_time=datetime.timedelta(seconds=loop.time() - began_at),
+            handler.response, arrived_after=arrived_after
         )
 
 
--- a/acaciamoor/platform/objects.py
+++ b/acaciamoor/platform/objects.py
@@ -122,8 +122,8 @@
         For a bookmark, whether the events since the last one are all objects
         that exist at `version`.
     transfer_time : datetime.timedelta
-        For a bookmark, time that the response took to arrive and to be read.
-        The platform had `version` before that.
+        For a bookmark, time since the response arrived, at most. The platform
+        had `version` before that.
     """
 
     event_type: EventType
--- a/acaciamoor/platform/polling.py
+++ b/acaciamoor/platform/polling.py
@@ -1,11 +1,11 @@
 """Transport for platforms with paginated listings and long polling."""
 
-import asyncio
 import collections.abc
 import datetime
 
 import msgspec
 
+from acaciamoor import clock as clocks
 from acaciamoor import model
 from acaciamoor.platform import connection as connections
 from acaciamoor.platform import dialect as dialects
@@ -49,6 +49,8 @@
         Encoding of requests and responses.
     settings : LongPollSettings
         Timeouts and connection settings.
+    clock : Clock
+        Source of the time at which responses arrive.
 
     Notes
     -----
@@ -64,10 +66,12 @@
         address: model.Address,
         dialect: dialects.Dialect,
         settings: LongPollSettings | None = None,
+        clock: clocks.Clock | None = None,
     ) -> None:
         self._address = address
         self._dialect = dialect
         self._settings = settings or LongPollSettings()
+        self._clock = clock or clocks.SystemClock()
         self._host_header = f'Host: {address}\r\n'
 
     async def read(self, kind: str, name: str) -> objects.StoredObject:
@@ -87,8 +91,7 @@
         version delivers the changes made while later pages were read. With
         `stale`, the platform may return data that is seconds old.
         """
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
+        started_at = self._clock.monotonic()
         found: list[objects.StoredObject] = []
         version = None
         continue_after = ''
@@ -110,7 +113,7 @@
                 for stored in found
                 if selector is None or selector.matches(stored.value)
             ),
-            datetime.timedelta(seconds=loop.time() - started_at),
+            self._clock.monotonic() - started_at,
         )
 
     async def write(self, write: objects.Write) -> objects.StoredObject:
@@ -142,29 +145,18 @@
             If the changes after `after_version` are no longer retained, or the
             platform was restored since.
         """
-        settings = self._settings
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        request = self._dialect.wait(
-            kind, after_version, settings.poll_timeout
-        )
+        poll_timeout = self._settings.poll_timeout
+        request = self._dialect.wait(kind, after_version, poll_timeout)
         response = await self._read(
-            request, settings.poll_timeout, versions.get_era(after_version)
+            request, poll_timeout, versions.get_era(after_version)
         )
         changes = self._decode(self._dialect.decode_changes, kind, response)
-        transfer_time = response.transfer_time
-        if not changes.events:
-            # The platform has waited for all of the time. The process may have
-            # been stopped since, and the response have waited to be read.
-            waited_until = started_at + settings.poll_timeout.total_seconds()
-            late = datetime.timedelta(seconds=loop.time() - waited_until)
-            transfer_time = max(transfer_time, late)
         for event in changes.events:
             yield event
         yield objects.WatchEvent(
             objects.EventType.BOOKMARK,
             max(changes.version, after_version),
-            transfer_time=transfer_time,
+            transfer_time=self._clock.monotonic() - response.arrived_after,
         )
 
     async def _read(
@@ -233,7 +225,7 @@
 
     async def _connect(self) -> connections.HttpConnection:
         connection = connections.HttpConnection(
-            self._address, self._settings.connection
+            self._address, self._settings.connection, self._clock
         )
         try:
             await connection.connect()
--- a/acaciamoor/platform/tests/test_polling.py
+++ b/acaciamoor/platform/tests/test_polling.py
@@ -10,6 +10,7 @@
 
 import uvloop
 
+from acaciamoor import clock
 from acaciamoor import model
 from acaciamoor import platform
 from acaciamoor.platform import connection
@@ -132,6 +133,7 @@
         broken = connection.HttpConnection(
             model.Address(*server.sockets[0].getsockname()),
             connection.ConnectionSettings(),
+            clock.SystemClock(),
         )
         await broken.connect()
         broken._writer.transport.abort()
@@ -218,10 +220,53 @@
             stopped - TIMEOUT.total_seconds(),
         )
 
-    def start_thread(self) -> model.Address:
+    async def test_changes_that_are_read_late_are_as_old_as_the_stop(self):
+        """Guards against hosts that take an old list for a current one.
+
+        The process is stopped between a response with changes, which the
+        platform sends before the end of the wait, and its reading. It may be
+        stopped again when it has looked for data, or has read the response.
+        """
+        for stops in ((0.6,), (0.3, 0.3), (0.2, 0.2, 0.2)):
+            transport = polling.LongPollTransport(
+                self.start_thread(), StubDialect()
+            )
+
+            async def read_bookmark(transport=transport):
+                events = [event async for event in transport.stream('desk', 5)]
+                return time.monotonic(), events[-1]
+
+            task = asyncio.create_task(read_bookmark())
+            await asyncio.sleep(TIMEOUT.total_seconds() / 2)
+            for stop in stops:
+                time.sleep(stop)
+                await asyncio.sleep(0)
+            read_at, bookmark = await task
+            with self.subTest(stops=stops):
+                self.assertGreater(read_at - self.responded_at, 0.2)
+                self.assertGreaterEqual(
+                    bookmark.transfer_time.total_seconds(),
+                    read_at - self.responded_at,
+                )
+
+    async def test_response_that_is_read_at_once_is_recent(self):
+        """Guards against calls to the store for lists that are current.
+
+        A response does not become old while the platform waits for a change.
+        """
+        wait = 6 * TIMEOUT
+        transport = polling.LongPollTransport(
+            self.start_thread(wait), StubDialect()
+        )
+        events = [event async for event in transport.stream('desk', 5)]
+        self.assertLess(events[-1].transfer_time, wait / 2)
+
+    def start_thread(
+        self, wait: datetime.timedelta = TIMEOUT
+    ) -> model.Address:
         """Return the address of a platform that is not stopped.
 
-        It responds to one request at the end of its wait.
+        It responds to one request after `wait`.
         """
         listener = socket.create_server(('127.0.0.1', 0))
         self.addCleanup(listener.close)
@@ -229,10 +274,11 @@
         def respond():
             with listener.accept()[0] as connected:
                 connected.recv(4096)
-                time.sleep(TIMEOUT.total_seconds())
+                time.sleep(wait.total_seconds())
                 connected.sendall(
                     b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7'
                 )
+                self.responded_at = time.monotonic()
 
         thread = threading.Thread(target=respond)
         thread.start()
