Give the tests of the age of responses a module of their own

The four tests of the age of responses and their platform in a thread move to test_response_age.py, and the stub of the dialect to the builders.

--- a/acaciamoor/platform/tests/test_polling.py
+++ b/acaciamoor/platform/tests/test_polling.py
@@ -2,9 +2,6 @@
 
 import asyncio
 import datetime
-import socket
-import threading
-import time
 import unittest
 from unittest import mock
 
@@ -14,43 +11,17 @@
 from acaciamoor import model
 from acaciamoor import platform
 from acaciamoor.platform import connection
-from acaciamoor.platform import dialect
 from acaciamoor.platform import polling
 from acaciamoor.platform import versions
+from acaciamoor.platform.tests import builders
 
 OK_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
 TIMEOUT = datetime.timedelta(milliseconds=100)
 
 
-class StubDialect:
-    """Minimal requests; the body of a response becomes an object's name."""
+class TransportTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base class of tests with a transport on uvloop."""
 
-    era_header = 'platform-era'
-
-    def read(self, kind, name):
-        return dialect.Request('GET', f'/{kind}/{name}', name)
-
-    def write(self, write):
-        return dialect.Request('PUT', f'/{write.kind}', write.name, b'{}')
-
-    def wait(self, kind, after_version, wait):
-        return dialect.Request('GET', f'/{kind}?watch', kind)
-
-    def read_page(self, kind, after, stale):
-        return dialect.Request('GET', f'/{kind}', kind)
-
-    def decode_stored(self, kind, body, era):
-        return platform.StoredObject(kind, body.decode(), 1, {})
-
-    def decode_changes(self, kind, body, era):
-        return dialect.Changes(versions.make_version(era, int(body)), ())
-
-    def decode_page(self, kind, body, era):
-        version = versions.make_version(era, int(body))
-        return dialect.Page(version, (), 'a' if int(body) == 1 else '')
-
-
-class LongPollTransportTest(unittest.IsolatedAsyncioTestCase):
     @classmethod
     def setUpClass(cls):
         super().setUpClass()
@@ -65,10 +36,12 @@
         address = model.Address(*server.sockets[0].getsockname())
         return polling.LongPollTransport(
             address,
-            StubDialect(),
+            builders.StubDialect(),
             polling.LongPollSettings(response_timeout=TIMEOUT),
         )
 
+
+class LongPollTransportTest(TransportTestCase):
     async def test_connection_closed_after_each_response(self):
         """Guards against a request on a connection that the server closed."""
 
@@ -175,116 +148,6 @@
         stored = await transport.read('desk', 'a')
         self.assertEqual('a' * 20, stored.name)
 
-    async def test_slow_response_is_as_old_as_its_transfer(self):
-        """Guards against a host that takes late data for fresh.
-
-        The platform made the response before its first byte was sent.
-        """
-
-        async def respond_slowly(reader, writer):
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n')
-            for _ in range(4):
-                await asyncio.sleep(TIMEOUT.total_seconds() / 2)
-                writer.write(b'7')
-
-        transport = await self.start(respond_slowly)
-        async for event in transport.stream('desk', 5):
-            self.assertGreaterEqual(event.transfer_time, 1.5 * TIMEOUT)
-        listing = await transport.read_all('desk')
-        self.assertGreaterEqual(listing.transfer_time, 1.5 * TIMEOUT)
-
-    async def test_response_that_is_read_late_is_as_old_as_the_wait(self):
-        """Guards against hosts that take an old list for a current one.
-
-        The process is stopped between the response and its reading. Without
-        changes the platform responds at the end of the wait.
-        """
-        address = self.start_thread()
-        transport = polling.LongPollTransport(
-            address,
-            StubDialect(),
-            polling.LongPollSettings(poll_timeout=TIMEOUT),
-        )
-        stopped = 0.6
-
-        async def read_bookmark():
-            return [event async for event in transport.stream('desk', 5)][-1]
-
-        task = asyncio.create_task(read_bookmark())
-        await asyncio.sleep(TIMEOUT.total_seconds() / 2)
-        time.sleep(stopped)
-        bookmark = await task
-        self.assertGreater(
-            bookmark.transfer_time.total_seconds(),
-            stopped - TIMEOUT.total_seconds(),
-        )
-
-    async def test_changes_that_are_read_late_are_as_old_as_the_stop(self):
-        """Guards against hosts that take an old list for a current one.
-
-        The process is stopped between a response with changes, which the
-        platform sends before the end of the wait, and its reading. It may be
-        stopped again when it has looked for data, or has read the response.
-        """
-        for stops in ((0.6,), (0.3, 0.3), (0.2, 0.2, 0.2)):
-            transport = polling.LongPollTransport(
-                self.start_thread(), StubDialect()
-            )
-
-            async def read_bookmark(transport=transport):
-                events = [event async for event in transport.stream('desk', 5)]
-                return time.monotonic(), events[-1]
-
-            task = asyncio.create_task(read_bookmark())
-            await asyncio.sleep(TIMEOUT.total_seconds() / 2)
-            for stop in stops:
-                time.sleep(stop)
-                await asyncio.sleep(0)
-            read_at, bookmark = await task
-            with self.subTest(stops=stops):
-                self.assertGreater(read_at - self.responded_at, 0.2)
-                self.assertGreaterEqual(
-                    bookmark.transfer_time.total_seconds(),
-                    read_at - self.responded_at,
-                )
-
-    async def test_response_that_is_read_at_once_is_recent(self):
-        """Guards against calls to the store for lists that are current.
-
-        A response does not become old while the platform waits for a change.
-        """
-        wait = 6 * TIMEOUT
-        transport = polling.LongPollTransport(
-            self.start_thread(wait), StubDialect()
-        )
-        events = [event async for event in transport.stream('desk', 5)]
-        self.assertLess(events[-1].transfer_time, wait / 2)
-
-    def start_thread(
-        self, wait: datetime.timedelta = TIMEOUT
-    ) -> model.Address:
-        """Return the address of a platform that is not stopped.
-
-        It responds to one request after `wait`.
-        """
-        listener = socket.create_server(('127.0.0.1', 0))
-        self.addCleanup(listener.close)
-
-        def respond():
-            with listener.accept()[0] as connected:
-                connected.recv(4096)
-                time.sleep(wait.total_seconds())
-                connected.sendall(
-                    b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7'
-                )
-                self.responded_at = time.monotonic()
-
-        thread = threading.Thread(target=respond)
-        thread.start()
-        self.addCleanup(thread.join)
-        return model.Address(*listener.getsockname())
-
     async def test_silence_within_a_response_ends_the_call(self):
         """Guards against a store that hangs in the middle of a response."""
 
@@ -307,7 +170,7 @@
             asyncio, 'open_connection', side_effect=TimeoutError
         ):
             transport = polling.LongPollTransport(
-                model.Address('127.0.0.1', 1), StubDialect()
+                model.Address('127.0.0.1', 1), builders.StubDialect()
             )
             with self.assertRaises(platform.TimedOut):
                 await transport.read('desk', 'a')
