--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -20,13 +20,13 @@
 from acaciamoor.forwarder import packet as packets
 from acaciamoor.forwarder import store_schema as schemas
 from acaciamoor.forwarder import sync_status
-from acaciamoor.forwarder.shell import adoption
+from acaciamoor.forwarder.shell import directory_updater
 from acaciamoor.forwarder.shell import driver as drivers
-from acaciamoor.forwarder.shell import following as followings
 from acaciamoor.forwarder.shell import http_endpoint as endpoints
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import observer
 from acaciamoor.forwarder.shell import sources
+from acaciamoor.forwarder.shell import store_synchronizer
 from acaciamoor.telemetry import exposition
 
 _LOG = logging.getLogger(__name__)
@@ -128,11 +128,11 @@
             clock,
             settings.core.pause_threshold,
         )
-        self._synchronizer = followings.StoreSynchronizer(
+        self._synchronizer = store_synchronizer.StoreSynchronizer(
             settings.sync,
             schema,
             store,
-            adoption.DirectoryUpdater(
+            directory_updater.DirectoryUpdater(
                 schema,
                 self._directory,
                 self._core,
--- a/acaciamoor/forwarder/shell/following.py
+++ b/acaciamoor/forwarder/shell/store_synchronizer.py
@@ -12,7 +12,7 @@
 from acaciamoor import replica as replicas
 from acaciamoor import supervision
 from acaciamoor.forwarder import store_schema as schemas
-from acaciamoor.forwarder.shell import adoption as adoptions
+from acaciamoor.forwarder.shell import directory_updater as updaters
 from acaciamoor.forwarder.shell import discovery
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import relay_links
@@ -49,7 +49,7 @@
         settings: limits.SyncSettings,
         schema: schemas.StoreSchema,
         store: sources.StoreTransports,
-        updater: adoptions.DirectoryUpdater,
+        updater: updaters.DirectoryUpdater,
         clock: clocks.Clock,
         random_source: random.Random,
     ) -> None:
--- a/acaciamoor/forwarder/tests/simulated_store.py
+++ b/acaciamoor/forwarder/tests/simulated_store.py
@@ -5,10 +5,10 @@
 
 from acaciamoor import platform
 from acaciamoor.forwarder.shell import limits
-from acaciamoor.forwarder.tests import test_following
+from acaciamoor.forwarder.tests import test_store_synchronizer
 from acaciamoor.platform import versions
 
-UPSTREAMS = test_following.UPSTREAMS
+UPSTREAMS = test_store_synchronizer.UPSTREAMS
 
 
 class SimulatedStore:
@@ -40,7 +40,7 @@
     async def put(self, name: str, kind: str = UPSTREAMS) -> None:
         """Write an object and wake up the waiting calls."""
         self.version += 1
-        event = test_following.put(kind, name, self.version)
+        event = test_store_synchronizer.put(kind, name, self.version)
         self.written[kind].append(event)
         async with self.changed:
             self.changed.notify_all()
@@ -57,9 +57,9 @@
     async def read_all(self, kind, selector=None, stale=False):
         await self._check_path()
         self._store.lists_by_kind[kind] += 1
-        if kind == test_following.HOSTS:
+        if kind == test_store_synchronizer.HOSTS:
             found = [
-                test_following.put(kind, str(number), 1).stored
+                test_store_synchronizer.put(kind, str(number), 1).stored
                 for number, peer in enumerate(self._store.peers)
                 if not self._store.needs_registration
                 or peer.host_id in self._store.registered_ids
@@ -106,7 +106,7 @@
             raise platform.TimedOut('cut')
 
 
-class StoreSchema(test_following.StoreSchema):
+class StoreSchema(test_store_synchronizer.StoreSchema):
     """Schema that also decodes the hosts of the simulated store."""
 
     def __init__(self, store):
--- a/acaciamoor/forwarder/tests/test_data_centre.py
+++ b/acaciamoor/forwarder/tests/test_data_centre.py
@@ -10,19 +10,19 @@
 from acaciamoor import model
 from acaciamoor import replica
 from acaciamoor.demo import site
-from acaciamoor.forwarder.shell import following as followings
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import relay_server
 from acaciamoor.forwarder.shell import sources
+from acaciamoor.forwarder.shell import store_synchronizer
 from acaciamoor.forwarder.tests import simulated_store
-from acaciamoor.forwarder.tests import test_following
 from acaciamoor.forwarder.tests import test_relay
+from acaciamoor.forwarder.tests import test_store_synchronizer
 
 SECOND = datetime.timedelta(seconds=1)
 BOUND = 3 * SECOND
 RECOVERY = 4 * SECOND
 HOSTS = 8
-UPSTREAMS = test_following.UPSTREAMS
+UPSTREAMS = test_store_synchronizer.UPSTREAMS
 # Time for hosts to connect to their relays, in seconds.
 STARTUP_S = 1.0
 
@@ -59,9 +59,9 @@
         settings = limits.SyncSettings(
             own, tuple(seeds), BOUND, RECOVERY, first_start
         )
-        updater = test_following.RecordingUpdater()
+        updater = test_store_synchronizer.RecordingUpdater()
         self.updaters_by_id[own.host_id] = updater
-        synchronizer = followings.StoreSynchronizer(
+        synchronizer = store_synchronizer.StoreSynchronizer(
             settings,
             simulated_store.StoreSchema(self.store),
             sources.StoreTransports(
@@ -124,7 +124,7 @@
         The store counts versions over all collections, so a change of the
         routes advances the version of the upstreams as well.
         """
-        await self.store.put('main', kind=test_following.ROUTES)
+        await self.store.put('main', kind=test_store_synchronizer.ROUTES)
         await self.wait_for_all('main')
         self.store.calls_by_id.clear()
         await asyncio.sleep(BOUND.total_seconds())
@@ -202,7 +202,7 @@
             len(self.store.registered_ids),
         )
         self.assertLessEqual(
-            self.store.lists_by_kind[test_following.HOSTS],
+            self.store.lists_by_kind[test_store_synchronizer.HOSTS],
             2 * self.WIDE_HOSTS,
         )
 
@@ -217,7 +217,7 @@
         self.add_hosts(1)
         own = self.store.peers[-1]
         received = []
-        apply_update = followings.StoreSynchronizer.apply_update
+        apply_update = store_synchronizer.StoreSynchronizer.apply_update
 
         def record(synchronizer, update, peer, now):
             if update.whole:
@@ -226,7 +226,7 @@
 
         seeds = [peer.address for peer in self.store.peers[:3]]
         with mock.patch.object(
-            followings.StoreSynchronizer, 'apply_update', record
+            store_synchronizer.StoreSynchronizer, 'apply_update', record
         ):
             self.start(own, seeds)
             await self.updaters_by_id[own.host_id].wait_for('desk-1')
--- a/acaciamoor/forwarder/tests/test_adoption.py
+++ b/acaciamoor/forwarder/tests/test_directory_updater.py
@@ -7,13 +7,13 @@
 from acaciamoor import platform
 from acaciamoor import replica
 from acaciamoor.directory.tests import builders as directory_builders
-from acaciamoor.forwarder.shell import adoption
+from acaciamoor.forwarder.shell import directory_updater
 from acaciamoor.forwarder.tests import builders
 
 SECOND = directory_builders.SECOND
 SERVICE = directory_builders.SERVICE
 UPSTREAMS = 'upstreams'
-LOGGER = 'acaciamoor.forwarder.shell.adoption'
+LOGGER = 'acaciamoor.forwarder.shell.directory_updater'
 
 
 class StoreSchema:
@@ -46,7 +46,7 @@
         self.directory = directory.Directory()
         self.replica = replica.Replica(UPSTREAMS)
         self.clock = clock.ManualClock()
-        self.updater = adoption.DirectoryUpdater(
+        self.updater = directory_updater.DirectoryUpdater(
             StoreSchema(),
             self.directory,
             builders.core(self.directory),
--- a/acaciamoor/forwarder/tests/test_following.py
+++ b/acaciamoor/forwarder/tests/test_store_synchronizer.py
@@ -12,9 +12,9 @@
 from acaciamoor import platform
 from acaciamoor import replica
 from acaciamoor.demo import site
-from acaciamoor.forwarder.shell import following as followings
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import sources
+from acaciamoor.forwarder.shell import store_synchronizer
 
 SECOND = datetime.timedelta(seconds=1)
 ROUTES = 'routes'
@@ -107,7 +107,7 @@
         address = site.find_free_address()
         own = replica.Peer(model.HostId(str(address)), 'kgn-a', address)
         updater = RecordingUpdater()
-        synchronizer = followings.StoreSynchronizer(
+        synchronizer = store_synchronizer.StoreSynchronizer(
             limits.SyncSettings(own, tuple(seeds), 3 * SECOND, 4 * SECOND),
             StoreSchema(),
             sources.StoreTransports(store, store, store),
