--- a/acaciamoor/directory/__init__.py
+++ b/acaciamoor/directory/__init__.py
@@ -6,6 +6,7 @@
 from acaciamoor.directory.routes import RequestKind
 from acaciamoor.directory.routes import Route
 from acaciamoor.directory.routes import RouteTable
+from acaciamoor.directory.routes import ServiceLimits
 from acaciamoor.directory.upstreams import UpstreamEntry
 from acaciamoor.directory.upstreams import UpstreamList
 
@@ -15,6 +16,7 @@
     'RequestKind',
     'Route',
     'RouteTable',
+    'ServiceLimits',
     'StoreContact',
     'UpstreamEntry',
     'UpstreamList',
--- a/acaciamoor/directory/routes.py
+++ b/acaciamoor/directory/routes.py
@@ -3,6 +3,7 @@
 import collections.abc
 import datetime
 import enum
+import types
 
 import msgspec
 
@@ -48,6 +49,25 @@
     priority: int = 0
 
 
+class ServiceLimits(msgspec.Struct, frozen=True):
+    """Limits of the upstreams of a service.
+
+    Parameters
+    ----------
+    max_flows : int
+        Open flows that an upstream holds; 0 if no limit is set.
+    warm_up : datetime.timedelta
+        Time after its start for which an upstream is slow.
+    warm_up_rate : float
+        Requests a second that an upstream bears meanwhile; 0 if no limit is
+        set.
+    """
+
+    max_flows: int = 0
+    warm_up: datetime.timedelta = datetime.timedelta(0)
+    warm_up_rate: float = 0.0
+
+
 class RouteTable(msgspec.Struct, frozen=True):
     """All routes of one version of the configuration.
 
@@ -57,7 +77,12 @@
         Version given by the operator; versions only increase.
     routes_by_address : Mapping
         Routes by address and port.
+    limits_by_service : Mapping
+        Limits of the services that have any.
     """
 
     version: int
     routes_by_address: collections.abc.Mapping[tokens.ServiceAddress, Route]
+    limits_by_service: collections.abc.Mapping[str, ServiceLimits] = (
+        types.MappingProxyType({})
+    )
--- /dev/null
+++ b/acaciamoor/load_reports/report.py
@@ -0,0 +1,154 @@
+"""Reports of the load that passes a host, and their sums."""
+
+import math
+
+import msgspec
+
+# Counts and levels above this one cannot be true.
+MAX_COUNT = 1 << 31
+# Upstreams in one report; a host that saw more reports the busiest ones.
+MAX_UPSTREAMS = 4096
+
+
+def _check_numbers(*numbers: float) -> None:
+    for number in numbers:
+        if not 0 <= number <= MAX_COUNT or not math.isfinite(number):
+            raise ValueError(f'{number} is out of range')
+
+
+class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Load of an upstream, as one host or several hosts together saw it.
+
+    Parameters
+    ----------
+    upstream_id : str
+        The upstream.
+    in_progress, open_flows : int
+        Requests in progress and open flows at the end of the interval.
+    started, finished : int
+        Requests that started, and that were answered, in the interval.
+    busy_seconds : float
+        Sum of the durations of the requests that were answered, in seconds.
+    rejected : int
+        Requests that the upstream rejected for lack of room.
+    openings, unanswered : int
+        Opening packets sent to the upstream, and those it did not answer.
+    """
+
+    upstream_id: str
+    in_progress: int = 0
+    open_flows: int = 0
+    started: int = 0
+    finished: int = 0
+    busy_seconds: float = 0.0
+    rejected: int = 0
+    openings: int = 0
+    unanswered: int = 0
+
+    def __post_init__(self) -> None:
+        _check_numbers(
+            self.in_progress,
+            self.open_flows,
+            self.started,
+            self.finished,
+            self.busy_seconds,
+            self.rejected,
+            self.openings,
+            self.unanswered,
+        )
+
+
+class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
+    """New flows for a service over routes of one priority.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    priority : int
+        Priority of the routes; 0 is the highest.
+    openings, refused : int
+        New flows in the interval, and those that were refused by a host.
+    """
+
+    service: str
+    priority: int
+    openings: int = 0
+    refused: int = 0
+
+    def __post_init__(self) -> None:
+        _check_numbers(self.openings, self.refused)
+
+
+class HostReport(msgspec.Struct, frozen=True):
+    """What passed one host in an interval.
+
+    Parameters
+    ----------
+    host_id, data_centre : str
+        The host.
+    incarnation : int
+        Random number of the process.
+    serial : int
+        Number of the report among those of the process.
+    interval : float
+        Length of the interval, in seconds.
+    upstreams : list of UpstreamLoad
+        Load by upstream, without idle ones.
+    demands : list of ServiceDemand
+        New flows by service and priority.
+    """
+
+    host_id: str
+    data_centre: str
+    incarnation: int
+    serial: int
+    interval: float
+    upstreams: list[UpstreamLoad] = []
+    demands: list[ServiceDemand] = []
+
+    def __post_init__(self) -> None:
+        _check_numbers(self.interval)
+        if len(self.upstreams) > MAX_UPSTREAMS:
+            raise ValueError(
+                f'a report of {len(self.upstreams)} upstreams is too large'
+            )
+
+
+class LoadSummary(msgspec.Struct, frozen=True):
+    """Sum of the reports of the hosts of a data centre.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of the hosts.
+    sender : str
+        Host that computed the sum.
+    incarnation : int
+        Random number of its process.
+    serial : int
+        Number of the summary among those of the process.
+    hosts : int
+        Number of hosts whose reports it contains.
+    age : float
+        Time since the reports were taken, in seconds, when it was sent.
+    interval : float
+        Mean length of the intervals of the reports, in seconds.
+    upstreams : list of UpstreamLoad
+        Sums by upstream.
+    demands : list of ServiceDemand
+        Sums by service and priority.
+    """
+
+    data_centre: str
+    sender: str
+    incarnation: int
+    serial: int
+    hosts: int
+    age: float
+    interval: float
+    upstreams: list[UpstreamLoad] = []
+    demands: list[ServiceDemand] = []
+
+    def __post_init__(self) -> None:
+        _check_numbers(self.hosts, self.age, self.interval)
