--- a/acaciamoor/directory/directory.py
+++ b/acaciamoor/directory/directory.py
@@ -5,6 +5,7 @@
 
 from acaciamoor import model
 from acaciamoor import tokens
+from acaciamoor.directory import evacuations
 from acaciamoor.directory import removals
 from acaciamoor.directory import routes
 from acaciamoor.directory import upstreams
@@ -33,6 +34,8 @@
         self._settings = settings or removals.DirectorySettings()
         self._table: routes.RouteTable | None = None
         self._upstreams_listed = False
+        self._evacuations_listed = not self._settings.follows_evacuations
+        self._evacuations = evacuations.Evacuations()
         self._entries_by_id: dict[
             model.UpstreamId, upstreams.UpstreamEntry
         ] = {}
@@ -48,8 +51,12 @@
 
     @property
     def complete(self) -> bool:
-        """Whether both the routes and the upstreams were received."""
-        return self._table is not None and self._upstreams_listed
+        """Whether all collections that the host follows were received."""
+        return (
+            self._table is not None
+            and self._upstreams_listed
+            and self._evacuations_listed
+        )
 
     @property
     def route_version(self) -> int:
@@ -124,6 +131,43 @@
         self._invalidate_caches(False)
         return True
 
+    def begin_evacuation(self, data_centre: model.DataCentre) -> bool:
+        """Place no new flows in a data centre; False if none are placed."""
+        if not self._evacuations.begin(data_centre):
+            return False
+        self._invalidate_caches(False)
+        return True
+
+    def end_evacuation(
+        self, data_centre: model.DataCentre, ends_at: datetime.timedelta
+    ) -> bool:
+        """Place new flows again from `ends_at`; False if nothing changes."""
+        if not self._evacuations.end(data_centre, ends_at):
+            return False
+        self._invalidate_caches(False)
+        return True
+
+    def confirm_evacuations(self) -> None:
+        """Record that all evacuations were received."""
+        self._evacuations_listed = True
+
+    def list_evacuations(
+        self, now: datetime.timedelta
+    ) -> tuple[model.DataCentre, ...]:
+        """Return the evacuated data centres that have upstreams.
+
+        An entry of another writer may have any name.
+        """
+        known = {
+            entry.upstream.data_centre
+            for entry in self._entries_by_id.values()
+        }
+        return tuple(
+            data_centre
+            for data_centre in self._evacuations.list_all(now)
+            if data_centre in known
+        )
+
     def confirm_entries(self, revision: int) -> None:
         """Record that the entries are complete up to `revision`."""
         self._upstreams_listed = True
@@ -163,7 +207,10 @@
     def candidates(
         self, service: str, now: datetime.timedelta
     ) -> tuple[upstreams.UpstreamEntry, ...]:
-        """Return the upstreams of a service that accept new flows."""
+        """Return the upstreams of a service that accept new flows.
+
+        Upstreams of evacuated data centres are left out.
+        """
         if self._next_expiry is not None and now >= self._next_expiry:
             self._invalidate_caches(False)
         found = self._candidates_by_service.get(service)
@@ -172,8 +219,18 @@
             self._candidates_by_service[service] = found
         return found
 
+    def is_evacuated(self, service: str, now: datetime.timedelta) -> bool:
+        """Return whether a service has upstreams in evacuated places only.
+
+        Without the evacuations, it would have upstreams for new flows.
+        """
+        return not self.candidates(service, now) and bool(
+            self._select_active(service, now)
+        )
+
     def expire(self, now: datetime.timedelta) -> list[model.UpstreamId]:
         """Discard removed entries whose retention has ended; return these."""
+        self._evacuations.expire(now)
         limit = now - self._settings.retention
         expired = [
             upstream_id
@@ -203,6 +260,22 @@
 
     def _select_candidates(
         self, service: str, now: datetime.timedelta
+    ) -> tuple[upstreams.UpstreamEntry, ...]:
+        self._schedule_expiry(self._evacuations.next_end(now))
+        return tuple(
+            entry
+            for entry in self._select_active(service, now)
+            if not self._evacuations.contains(entry.upstream.data_centre, now)
+        )
+
+    def _schedule_expiry(self, expiry: datetime.timedelta | None) -> None:
+        if expiry is not None and (
+            self._next_expiry is None or expiry < self._next_expiry
+        ):
+            self._next_expiry = expiry
+
+    def _select_active(
+        self, service: str, now: datetime.timedelta
     ) -> tuple[upstreams.UpstreamEntry, ...]:
         present = [
             entry
@@ -215,9 +288,9 @@
             len(present) + len(removed_entries)
         ):
             active.extend(removed.entry for removed in removed_entries)
-            expiry = min(removed.grace_ends_at for removed in removed_entries)
-            if self._next_expiry is None or expiry < self._next_expiry:
-                self._next_expiry = expiry
+            self._schedule_expiry(
+                min(removed.grace_ends_at for removed in removed_entries)
+            )
         return tuple(sorted(active, key=lambda item: item.upstream_id))
 
     def _recently_removed(
--- a/acaciamoor/directory/removals.py
+++ b/acaciamoor/directory/removals.py
@@ -31,6 +31,8 @@
     max_list_age : datetime.timedelta
         Age of the list of upstreams above which the host has called the store
         itself.
+    follows_evacuations : bool
+        Whether the host learns which data centres are evacuated.
     """
 
     retention: datetime.timedelta = datetime.timedelta(seconds=60)
@@ -38,6 +40,7 @@
     change_bound: datetime.timedelta = datetime.timedelta(seconds=3)
     recovery_bound: datetime.timedelta = datetime.timedelta(seconds=4)
     max_list_age: datetime.timedelta = datetime.timedelta(seconds=2.1)
+    follows_evacuations: bool = False
 
 
 class StoreContact(msgspec.Struct, frozen=True):
--- a/acaciamoor/explain/timeline.py
+++ b/acaciamoor/explain/timeline.py
@@ -20,6 +20,7 @@
     'stopped',
     'the process was stopped',
     'configuration adopted',
+    'data centre is',
     'watch of',
     'relay',
     'relays do not confirm',
--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -17,6 +17,7 @@
 _NO_UPSTREAM = effects.Drop(effects.DropReason.NO_UPSTREAM)
 _NOT_FROM_CALLER = effects.Drop(effects.DropReason.NOT_FROM_CALLER)
 _UNKNOWN_TOKEN = effects.Drop(effects.DropReason.UNKNOWN_TOKEN)
+_EVACUATED = effects.Drop(effects.DropReason.EVACUATED)
 _OUTDATED = effects.Drop(effects.DropReason.OUTDATED)
 _DUPLICATE = effects.Drop(effects.DropReason.DUPLICATE)
 _WAIT_FOR_CONFIGURATION = effects.Wait(effects.WaitReason.NO_CONFIGURATION)
@@ -206,12 +207,12 @@
             return self._wait(opening, now, _WAIT_FOR_CONFIGURATION)
         route = self._directory.find_route(opening.address)
         if route is None:
-            self._pending.pop(opening.key)
-            if _is_refusable(opening, now):
-                return effects.Refusal(
-                    opening.key, effects.RefusalReason.NO_ROUTE
-                )
-            return _OUTDATED if opening.tried_ids else _NO_ROUTE
+            return self._refuse(
+                opening,
+                now,
+                effects.RefusalReason.NO_ROUTE,
+                _OUTDATED if opening.tried_ids else _NO_ROUTE,
+            )
         if not opening.service:
             opening.service = _choose_service(route, opening.key)
         elif opening.service not in route.weights_by_service:
@@ -245,18 +246,33 @@
         opening: openings.Opening,
         now: datetime.timedelta,
     ) -> effects.Decision:
+        if self._directory.is_evacuated(opening.service, now):
+            # The operator's order lasts; waiting would not help the caller.
+            return self._refuse(
+                opening, now, effects.RefusalReason.EVACUATED, _EVACUATED
+            )
         # While upstreams are replaced, the next one may register at any
         # moment. A service that has been empty for as long as callers wait
         # for an opening most likely stays empty for longer.
         since = self._empty_since_by_service.setdefault(opening.service, now)
         if now - since < self._settings.opening_lifetime:
             return self._wait(opening, now, _WAIT_FOR_UPSTREAM)
+        return self._refuse(
+            opening, now, effects.RefusalReason.NO_UPSTREAM, _NO_UPSTREAM
+        )
+
+    def _refuse(
+        self,
+        opening: openings.Opening,
+        now: datetime.timedelta,
+        reason: effects.RefusalReason,
+        otherwise: effects.Drop,
+    ) -> effects.Decision:
+        """Refuse a flow that no upstream can have seen; else drop a copy."""
         self._pending.pop(opening.key)
         if _is_refusable(opening, now):
-            return effects.Refusal(
-                opening.key, effects.RefusalReason.NO_UPSTREAM
-            )
-        return _NO_UPSTREAM
+            return effects.Refusal(opening.key, reason)
+        return otherwise
 
     def _wait(
         self,
--- a/acaciamoor/forwarder/effects.py
+++ b/acaciamoor/forwarder/effects.py
@@ -19,6 +19,7 @@
     UNKNOWN_TOKEN = 'unknown_token'  # noqa: S105
     NO_UPSTREAM = 'no_upstream'
     OUTDATED = 'outdated'
+    EVACUATED = 'evacuated'
     # The upstream has had no time yet to answer the previous copy.
     DUPLICATE = 'duplicate'
 
@@ -28,6 +29,8 @@
 
     NO_ROUTE = 'no_route'
     NO_UPSTREAM = 'no_upstream'
+    # All upstreams of the service are in evacuated data centres.
+    EVACUATED = 'evacuated'
 
 
 class WaitReason(enum.Enum):
--- a/acaciamoor/forwarder/shell/directory_updater.py
+++ b/acaciamoor/forwarder/shell/directory_updater.py
@@ -18,6 +18,12 @@
 
 # Changes to the same state in one batch above which they share a log line.
 _MAX_LINES_PER_STATE = 4
+# Time for which an evacuation stays in force that a restored store lacks. As
+# after an outage, other writers have noticed and repeated what was lost by
+# then.
+_RESTORATION_GRACE = datetime.timedelta(seconds=2)
+_ZERO = datetime.timedelta(0)
+_MS = datetime.timedelta(milliseconds=1)
 
 
 class DirectoryUpdater:
@@ -50,6 +56,7 @@
         self._core = core
         self._clock = clock
         self._on_change = on_change
+        self._evacuations_era: int | None = None
 
     def apply(
         self,
@@ -76,6 +83,8 @@
         if replica.kind == self._schema.routes_kind:
             for event in events:
                 self._apply_routes(event, source)
+        elif replica.kind == self._schema.evacuations_kind:
+            self._apply_evacuations(replica, events, source)
         else:
             confirmation = replica.confirmation
             contact = directories.StoreContact(
@@ -91,6 +100,53 @@
         """Record how many hosts share the callers of the data centre."""
         self._core.placer.local_hosts = count
 
+    def _apply_evacuations(
+        self,
+        replica: replicas.Replica,
+        events: list[platform.WatchEvent],
+        source: str,
+    ) -> None:
+        now = self._clock.monotonic()
+        era = versions.get_era(replica.version)
+        restored = era > (
+            era if self._evacuations_era is None else self._evacuations_era
+        )
+        self._evacuations_era = era
+        confirmation = replica.confirmation
+        for event in events:
+            if event.stored is None:
+                continue
+            data_centre = None
+            if event.event_type is platform.EventType.PUT:
+                data_centre = self._schema.decode_evacuation(event.stored)
+            if data_centre is not None:
+                changed = self._directory.begin_evacuation(data_centre)
+                state = 'is evacuated'
+            else:
+                changed = self._directory.end_evacuation(
+                    model.DataCentre(event.stored.name),
+                    now + (_RESTORATION_GRACE if restored else _ZERO),
+                )
+                state = 'is taken back'
+            if changed:
+                _LOG.info(
+                    'data centre %s, learned from %s',
+                    state,
+                    source,
+                    extra={
+                        'data_centre_affected': event.stored.name,
+                        'version': versions.format_version(event.version),
+                        # The store acknowledged it since its last statement
+                        # about the list; -1 if there is none.
+                        'acknowledged_within_ms': -1
+                        if confirmation is None
+                        else (now - confirmation.at) // _MS,
+                        'restored_store': restored,
+                    },
+                )
+        if replica.initialized:
+            self._directory.confirm_evacuations()
+
     def _apply_upstreams(
         self,
         events: list[platform.WatchEvent],
--- a/acaciamoor/forwarder/shell/limits.py
+++ b/acaciamoor/forwarder/shell/limits.py
@@ -6,6 +6,7 @@
 
 from acaciamoor import model
 from acaciamoor import replica as replicas
+from acaciamoor.forwarder import store_schema as schemas
 from acaciamoor.platform import polling
 
 # Initial and maximum backoff between two calls for changes. The initial one
@@ -67,6 +68,9 @@
 # Share of the change bound that a relay waits for changes in one call.
 # Together with the backoff it keeps the age at the standby below its share.
 _RELAY_WAIT_SHARE = 0.27
+# Time by which the wait of a relay with three collections stays below what
+# the age at the standby allows.
+_RELAY_WAIT_MARGIN = datetime.timedelta(milliseconds=50)
 # Share of the recovery bound that a call of a host without relays waits for
 # changes. A store that stopped responding never answers earlier calls; these
 # must time out, and the next ones be answered, within the recovery bound.
@@ -89,6 +93,8 @@
         path to it, has recovered.
     first_start : bool
         Whether all hosts of the site start now for the first time.
+    follows_evacuations : bool
+        Whether the operator may evacuate data centres.
     """
 
     own: replicas.Peer
@@ -96,6 +102,14 @@
     change_bound: datetime.timedelta
     recovery_bound: datetime.timedelta
     first_start: bool = False
+    follows_evacuations: bool = False
+
+    def get_kinds(self, schema: schemas.StoreSchema) -> tuple[str, ...]:
+        """Return the kinds of the collections that the host follows."""
+        kinds = (schema.routes_kind, schema.upstreams_kind)
+        if self.follows_evacuations:
+            kinds += (schema.evacuations_kind,)
+        return kinds
 
     def get_age_limits(
         self, search_period: datetime.timedelta
@@ -129,6 +143,16 @@
     @property
     def relay_calls(self) -> polling.LongPollSettings:
         """Limits for the short polls of relays."""
-        return polling.LongPollSettings(
-            CALL_TIMEOUT, self.change_bound * _RELAY_WAIT_SHARE
-        )
+        wait = self.change_bound * _RELAY_WAIT_SHARE
+        if self.follows_evacuations:
+            # The third collection would add half as many calls again. The
+            # longest wait after which the standby needs no call of its own
+            # makes up for that.
+            longest = (
+                self.change_bound * _STANDBY_AGE_SHARE
+                - INITIAL_BACKOFF
+                - HEARTBEAT_INTERVAL
+                - _RELAY_WAIT_MARGIN
+            )
+            wait = max(wait, longest)
+        return polling.LongPollSettings(CALL_TIMEOUT, wait)
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -254,6 +254,15 @@
                 'Upstreams that the store lists.',
                 lambda: len(self._directory.entries_by_id),
             ),
+            exposition.Gauge(
+                'acaciamoor_forwarder_evacuated',
+                'Data centres whose upstreams get no new flows.',
+                lambda: dict.fromkeys(
+                    self._directory.list_evacuations(self._clock.monotonic()),
+                    1,
+                ),
+                label='data_centre',
+            ),
             exposition.Gauge(
                 'acaciamoor_forwarder_listeners',
                 'Hosts that this host passes changes on to.',
--- a/acaciamoor/forwarder/shell/store_synchronizer.py
+++ b/acaciamoor/forwarder/shell/store_synchronizer.py
@@ -60,7 +60,7 @@
         origin = f'{settings.own.host_id}/{random_source.getrandbits(32):x}'
         self._replicas_by_kind = {
             kind: replicas.Replica(kind, origin)
-            for kind in (schema.routes_kind, schema.upstreams_kind)
+            for kind in settings.get_kinds(schema)
         }
         self._peers = replicas.PeerList(settings.own)
         self._age_limits = settings.get_age_limits(self._peers.search_period)
--- a/acaciamoor/forwarder/store_schema.py
+++ b/acaciamoor/forwarder/store_schema.py
@@ -3,6 +3,7 @@
 import typing
 
 from acaciamoor import directory
+from acaciamoor import model
 from acaciamoor import platform
 from acaciamoor import replica
 
@@ -13,6 +14,7 @@
     routes_kind: str
     routes_name: str
     upstreams_kind: str
+    evacuations_kind: str
     hosts_kind: str
 
     def decode_routes(
@@ -25,6 +27,11 @@
     ) -> directory.UpstreamEntry | None:
         """Return the upstream in an object; None if it is malformed."""
 
+    def decode_evacuation(
+        self, stored: platform.StoredObject
+    ) -> model.DataCentre | None:
+        """Return the data centre to evacuate; None if it is malformed."""
+
     def decode_host(
         self, stored: platform.StoredObject
     ) -> replica.Peer | None:
--- a/acaciamoor/forwarder/tests/test_data_centre.py
+++ b/acaciamoor/forwarder/tests/test_data_centre.py
@@ -54,10 +54,17 @@
                 found.append(own.host_id)
         return found
 
-    def start(self, own, seeds=(), first_start=False):
+    def start(
+        self, own, seeds=(), first_start=False, follows_evacuations=False
+    ):
         """Start the synchronizer of a host."""
         settings = limits.SyncSettings(
-            own, tuple(seeds), BOUND, RECOVERY, first_start
+            own,
+            tuple(seeds),
+            BOUND,
+            RECOVERY,
+            first_start,
+            follows_evacuations,
         )
         updater = test_store_synchronizer.RecordingUpdater()
         self.updaters_by_id[own.host_id] = updater
--- a/acaciamoor/forwarder/tests/test_directory_updater.py
+++ b/acaciamoor/forwarder/tests/test_directory_updater.py
@@ -22,6 +22,7 @@
     routes_kind = 'routes'
     routes_name = 'main'
     upstreams_kind = UPSTREAMS
+    evacuations_kind = 'evacuations'
 
     def decode_upstream(self, stored):
         if stored.name == 'bad':
--- a/acaciamoor/forwarder/tests/test_store_synchronizer.py
+++ b/acaciamoor/forwarder/tests/test_store_synchronizer.py
@@ -20,6 +20,7 @@
 ROUTES = 'routes'
 UPSTREAMS = 'upstreams'
 HOSTS = 'hosts'
+EVACUATIONS = 'evacuations'
 
 
 class StoreSchema:
@@ -29,6 +30,7 @@
     routes_name = 'main'
     upstreams_kind = UPSTREAMS
     hosts_kind = HOSTS
+    evacuations_kind = EVACUATIONS
 
     def decode_host(self, stored):
         return None
@@ -42,9 +44,11 @@
 
     def __init__(self):
         self.names_by_source = {}
+        self.kinds = set()
         self.changed = asyncio.Event()
 
     def apply(self, replica, events, source, failed_at=None):
+        self.kinds.add(replica.kind)
         names = self.names_by_source.setdefault(source, set())
         names.update(event.stored.name for event in events)
         self.changed.set()
@@ -183,7 +187,39 @@
 
     def test_listeners_call_the_store_within_the_change_bound(self):
         """Guards against changes that are lost behind partitioned relays."""
-        settings = limits.SyncSettings(None, (), 3 * SECOND, 4 * SECOND)
+        for bound_s in (3, 5, 6):
+            for follows in (False, True):
+                with self.subTest(bound_s=bound_s, follows=follows):
+                    self.check_ages(
+                        limits.SyncSettings(
+                            None,
+                            (),
+                            bound_s * SECOND,
+                            4 * SECOND,
+                            follows_evacuations=follows,
+                        )
+                    )
+
+    def test_third_collection_hardly_adds_calls(self):
+        """Guards against a relay that calls half as often again."""
+        calls_per_s = []
+        for follows in (False, True):
+            settings = limits.SyncSettings(
+                None,
+                (),
+                5 * SECOND,
+                5 * SECOND,
+                follows_evacuations=follows,
+            )
+            interval = (
+                settings.relay_calls.poll_timeout + limits.INITIAL_BACKOFF
+            )
+            kinds = len(settings.get_kinds(StoreSchema()))
+            calls_per_s.append(kinds / interval.total_seconds())
+        self.assertLess(calls_per_s[1] / calls_per_s[0], 1.15)
+
+    def check_ages(self, settings):
+        """Check that each host notices its age in time."""
         age_at_standby = (
             settings.relay_calls.poll_timeout
             + limits.INITIAL_BACKOFF
--- a/acaciamoor/telemetry/exposition.py
+++ b/acaciamoor/telemetry/exposition.py
@@ -57,15 +57,21 @@
     name, description : str
         Name and help text of the metric.
     read_value : callable
-        Returns the current value.
+        Returns the current value, or values by the value of a label.
+    label : str
+        Name of the label; empty for a gauge with a single value.
     """
 
     def __init__(
         self,
         name: str,
         description: str,
-        read_value: collections.abc.Callable[[], float],
+        read_value: collections.abc.Callable[
+            [], float | collections.abc.Mapping[str, float]
+        ],
+        label: str = '',
     ) -> None:
+        self._label = label
         self._name = name
         self._description = description
         self._read_value = read_value
@@ -73,7 +79,13 @@
     def lines(self) -> collections.abc.Iterator[str]:
         """Yield the metric in the Prometheus text format, line by line."""
         yield from _metadata_lines(self._name, self._description, 'gauge')
-        yield f'{self._name} {self._read_value():g}'
+        value = self._read_value()
+        if not isinstance(value, collections.abc.Mapping):
+            yield f'{self._name} {value:g}'
+            return
+        for label_value, number in sorted(value.items()):
+            labels = _format_labels(((self._label, label_value),))
+            yield f'{self._name}{labels} {number:g}'
 
 
 class Histogram:
