--- a/acaciamoor/standins/platform/table.py
+++ b/acaciamoor/standins/platform/table.py
@@ -1,7 +1,6 @@
 """Versioned objects, kept in memory."""
 
 import collections
-import dataclasses
 
 import msgspec
 
@@ -106,7 +105,7 @@
             raise platform.Conflict(name)
         del self._objects_by_name[kind][name]
         self._version += 1
-        deleted = dataclasses.replace(current, version=self._version)
+        deleted = msgspec.structs.replace(current, version=self._version)
         self._record_event(kind, platform.EventType.DELETED, deleted)
 
     def events_after(
--- a/acaciamoor/standins/platform/tests/test_server.py
+++ b/acaciamoor/standins/platform/tests/test_server.py
@@ -51,7 +51,9 @@
         with self.assertRaises(platform.NotFound):
             await self.store.get(KIND, 'bench')
         await self.store.delete(KIND, 'desk', updated.version)
-        self.assertEqual((), (await self.store.list(KIND)).objects)
+        listing = await self.store.list(KIND)
+        self.assertEqual((), listing.objects)
+        self.assertGreater(listing.version, updated.version)
 
     async def test_lost_replies_over_http(self):
         """Guards against a client that applies a write twice unnoticed."""
