--- a/acaciamoor/ctl/commands.py
+++ b/acaciamoor/ctl/commands.py
@@ -76,6 +76,21 @@
     return operator_pb2.DeleteServiceRequest(target=_target(given))
 
 
+def _evacuation_request(
+    given: settings.Settings,
+) -> operator_pb2.EvacuationRequest:
+    takes_back = given.command == 'take-back'
+    return operator_pb2.EvacuationRequest(
+        target=operator_pb2.Target(
+            name=given[flags.DATA_CENTRE],
+            expected_version=given[flags.EXPECTED_VERSION]
+            if takes_back
+            else 0,
+            requested_by=given[flags.REQUESTED_BY] or '',
+        )
+    )
+
+
 def _describe_service_request(
     given: settings.Settings,
 ) -> operator_pb2.DescribeServiceRequest:
@@ -89,7 +104,9 @@
     'create': ('CreateService', _create_service_request),
     'delete': ('DeleteService', _delete_service_request),
     'drain': ('DrainUpstream', _upstream_request),
+    'evacuate': ('EvacuateDataCentre', _evacuation_request),
     'remove': ('RemoveUpstream', _upstream_request),
+    'take-back': ('TakeBackDataCentre', _evacuation_request),
 }
 READS_BY_COMMAND: dict[str, tuple[str, BuildRequest]] = {
     'describe': ('DescribeService', _describe_service_request),
--- a/acaciamoor/ctl/flags.py
+++ b/acaciamoor/ctl/flags.py
@@ -80,6 +80,12 @@
 NAME = settings.RequiredFlag(
     'name', settings.text, 'Name of the service.', positional=True
 )
+DATA_CENTRE = settings.RequiredFlag(
+    'data-centre',
+    settings.text,
+    'Name of the data centre.',
+    positional=True,
+)
 UPSTREAM_ID = settings.RequiredFlag(
     'upstream-id',
     settings.text,
@@ -198,6 +204,17 @@
     ),
     settings.Command(
         'status',
-        'Show the configuration version in force in each data centre.',
+        'Show the configuration version in force in each data centre, and '
+        'the evacuated data centres.',
+    ),
+    settings.Command(
+        'evacuate',
+        'Send no new work to the upstreams of a data centre.',
+        (DATA_CENTRE, REQUESTED_BY),
+    ),
+    settings.Command(
+        'take-back',
+        'End the evacuation of a data centre.',
+        (DATA_CENTRE, *_CHANGE_FLAGS),
     ),
 )
--- a/acaciamoor/ctl/main.py
+++ b/acaciamoor/ctl/main.py
@@ -40,7 +40,7 @@
     """
     parser = settings.SettingsParser(
         PROGRAM,
-        'Creates and changes services.',
+        'Creates and changes services, and evacuates data centres.',
         flags.COMMON_FLAGS,
         flags.COMMANDS,
         _EPILOG,
@@ -92,7 +92,10 @@
 def _print_outcome(reply: operator_pb2.ChangeReply) -> None:
     outcome = reply.WhichOneof('outcome')
     if outcome == 'accepted':
-        print(f'accepted: version {reply.accepted.version}')
+        version = reply.accepted.version
+        print(f'accepted: version {version}' if version else 'accepted')
+        for notice in reply.accepted.notices:
+            print(f'  notice: {notice.place}: {notice.message}')
     elif outcome == 'refused':
         print('refused:')
         for finding in reply.refused.findings:
--- a/acaciamoor/ctl/output.py
+++ b/acaciamoor/ctl/output.py
@@ -21,6 +21,7 @@
     'STATE',
 )
 STATUS_COLUMNS = ('DATA CENTRE', 'VERSION', 'HOSTS', 'BEHIND')
+EVACUATION_COLUMNS = ('EVACUATED', 'VERSION', 'BY', 'AT')
 EVENT_COLUMNS = ('VERSION', 'SERVICE', 'EVENT', 'ACTIVE', 'DRAINING')
 
 
@@ -162,4 +163,19 @@
         )
         for item in message.data_centres
     ]
-    return f'version: {message.version}\n{format_table(STATUS_COLUMNS, rows)}'
+    text = f'version: {message.version}\n{format_table(STATUS_COLUMNS, rows)}'
+    if not message.evacuations:
+        return text
+    evacuations = map(_evacuation_row, message.evacuations)
+    return f'{text}\n\n{format_table(EVACUATION_COLUMNS, evacuations)}'
+
+
+def _evacuation_row(message: operator_pb2.Evacuation) -> tuple[object, ...]:
+    return (
+        message.data_centre,
+        message.version,
+        message.written_by or 'unnamed',
+        message.written_at.ToJsonString()
+        if message.HasField('written_at')
+        else 'unknown',
+    )
--- a/acaciamoor/ctl/tests/test_ctl.py
+++ b/acaciamoor/ctl/tests/test_ctl.py
@@ -134,6 +134,23 @@
         code, out = await self.run_command('describe', 'order-desk')
         self.assertEqual(settings.ExitCode.FAILURE, code)
 
+    async def test_evacuations_are_shown(self):
+        """Guards against a status that hides an evacuation or its writer."""
+        for name in ('kgn-a', 'kgn-x'):
+            code, out = await self.run_command(
+                'evacuate', name, '--requested-by', 'ann'
+            )
+            self.assertEqual(settings.ExitCode.SUCCESS, code, out)
+        self.assertIn('notice: evacuations.kgn-x: no service has', out)
+        code, out = await self.run_command('status')
+        self.assertRegex(out, r'kgn-a +1 +ann +2')
+        code, out = await self.run_command('take-back', 'kgn-a')
+        self.assertEqual((0, 'accepted: version 3\n'), (code.value, out))
+        code, out = await self.run_command('status', '--output', 'json')
+        (evacuation,) = json.loads(out)['evacuations']
+        self.assertEqual('kgn-x', evacuation['data_centre'])
+        self.assertEqual('ann', evacuation['written_by'])
+
     async def test_findings_of_a_request_are_all_shown(self):
         """Guards against a refusal that lists only the first problem."""
         code, out = await self.run_command(
--- a/acaciamoor/model/documents/checks.py
+++ b/acaciamoor/model/documents/checks.py
@@ -37,6 +37,21 @@
 ]
 
 
+def is_name(text: str) -> bool:
+    """Return whether `text` may name an object or a data centre.
+
+    Examples
+    --------
+    >>> is_name('kgn-a'), is_name('kgn a')
+    (True, False)
+    """
+    try:
+        pydantic.TypeAdapter(Name).validate_python(text)
+    except pydantic.ValidationError:
+        return False
+    return True
+
+
 def parse(
     document_type: type[DocumentT],
     place: str,
--- a/acaciamoor/operator/changes.py
+++ b/acaciamoor/operator/changes.py
@@ -11,12 +11,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Change:
-    """Base class of changes to one service.
+    """Base class of changes to one service or data centre.
 
     Parameters
     ----------
     name : str
-        Name of the service.
+        Name of the service or data centre.
     requested_by : str
         Who requests the change.
     expected_version : int
@@ -68,6 +68,16 @@
     """Delete a service and its upstreams."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EvacuateDataCentre(Change):
+    """Send no new work to the upstreams of a data centre."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TakeBackDataCentre(Change):
+    """End the evacuation of a data centre."""
+
+
 @functools.singledispatch
 def apply(change: Change, service: model.Service) -> model.Service:
     """Return `service` with `change` applied.
@@ -118,9 +128,10 @@
 def is_retryable(change: Change) -> bool:
     """Return whether `change` may be retried after a conflict.
 
-    Only changes to single upstreams are retried, because they have the same
-    effect whichever other changes precede them, and only if the operator
-    named no expected version.
+    Only changes to single upstreams and evacuations are retried, because they
+    have the same effect whichever other changes precede them, and only if the
+    operator named no expected version. A data centre that somebody else has
+    just evacuated again is not taken back.
     """
     return False
 
@@ -128,5 +139,6 @@
 @is_retryable.register(AddUpstream)
 @is_retryable.register(DrainUpstream)
 @is_retryable.register(RemoveUpstream)
-def _is_upstream_change_retryable(change: Change) -> bool:
+@is_retryable.register(EvacuateDataCentre)
+def _is_repeated_effect_the_same(change: Change) -> bool:
     return change.expected_version == 0
--- a/acaciamoor/operator/main.py
+++ b/acaciamoor/operator/main.py
@@ -12,6 +12,7 @@
 from acaciamoor import findings
 from acaciamoor import model
 from acaciamoor.operator import editor as editors
+from acaciamoor.operator import evacuations
 from acaciamoor.operator import operator_pb2_grpc
 from acaciamoor.operator import server as servers
 from acaciamoor.operator import tls
@@ -172,10 +173,16 @@
     count_outcome: servers.CountOutcome = lambda change, outcome: None,
 ) -> grpc.aio.Server:
     """Return a server of the operator API without a listening port."""
-    editor = editors.ServiceEditor(store, clocks.SystemClock())
+    clock = clocks.SystemClock()
     server = grpc.aio.server()
     operator_pb2_grpc.add_OperatorServicer_to_server(
-        servers.OperatorServicer(editor, store, count_outcome), server
+        servers.OperatorServicer(
+            editors.ServiceEditor(store, clock),
+            evacuations.EvacuationEditor(store, clock),
+            store,
+            count_outcome,
+        ),
+        server,
     )
     return server
 
--- a/acaciamoor/operator/messages.py
+++ b/acaciamoor/operator/messages.py
@@ -10,6 +10,7 @@
 from acaciamoor.operator import changes
 from acaciamoor.operator import operator_pb2
 from acaciamoor.operator import outcomes
+from acaciamoor.operator import repository
 
 Json = dict[str, typing.Any]
 _STATES_BY_NUMBER = {
@@ -130,6 +131,29 @@
     )
 
 
+def evacuation_message(
+    evacuation: repository.StoredEvacuation,
+) -> operator_pb2.Evacuation:
+    """Return the message for the evacuation of a data centre."""
+    message = operator_pb2.Evacuation(
+        data_centre=evacuation.data_centre,
+        version=evacuation.version,
+        written_by=evacuation.document.written_by,
+    )
+    if evacuation.document.written_at is not None:
+        message.written_at.FromDatetime(evacuation.document.written_at)
+    return message
+
+
+def _finding_messages(
+    items: collections.abc.Iterable[findings.Finding],
+) -> list[operator_pb2.Finding]:
+    return [
+        operator_pb2.Finding(place=item.place, message=item.message)
+        for item in items
+    ]
+
+
 @functools.singledispatch
 def reply_message(outcome: outcomes.Outcome) -> operator_pb2.ChangeReply:
     """Return the reply to a change with `outcome`."""
@@ -139,7 +163,9 @@
 @reply_message.register
 def _reply_accepted(outcome: outcomes.Accepted) -> operator_pb2.ChangeReply:
     return operator_pb2.ChangeReply(
-        accepted=operator_pb2.Accepted(version=outcome.version)
+        accepted=operator_pb2.Accepted(
+            version=outcome.version, notices=_finding_messages(outcome.notices)
+        )
     )
 
 
@@ -147,10 +173,7 @@
 def _reply_refused(outcome: outcomes.Refused) -> operator_pb2.ChangeReply:
     return operator_pb2.ChangeReply(
         refused=operator_pb2.Refused(
-            findings=[
-                operator_pb2.Finding(place=item.place, message=item.message)
-                for item in outcome.findings
-            ]
+            findings=_finding_messages(outcome.findings)
         )
     )
 
--- a/acaciamoor/operator/outcomes.py
+++ b/acaciamoor/operator/outcomes.py
@@ -16,13 +16,16 @@
     Parameters
     ----------
     version : int
-        Version of the service after the change.
+        Version after the change; 0 if it could not be read.
     service : Service or None
-        The service as stored; None if it was deleted.
+        The service as stored; None if it was deleted or is not concerned.
+    notices : tuple of Finding
+        What the operator should look at although the change is in effect.
     """
 
     version: int
     service: model.Service | None = None
+    notices: tuple[findings.Finding, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +67,7 @@
 
 
 def from_store_error(error: platform.StoreError) -> Refused:
-    """Return the refusal of a change whose service was not written."""
+    """Return the refusal of a change that was not written."""
     return refused(_PLATFORM_PLACE, f'{error}; nothing was changed')
 
 
--- a/acaciamoor/operator/repository.py
+++ b/acaciamoor/operator/repository.py
@@ -1,12 +1,14 @@
-"""Storage of services on the platform, and allocation of their identifiers."""
+"""Storage of services and evacuations, and allocation of identifiers."""
 
 import dataclasses
+import logging
 
 from acaciamoor import findings
 from acaciamoor import model
 from acaciamoor.model import documents
 import acaciamoor.platform as platform
 
+_LOG = logging.getLogger(__name__)
 COUNTER_KIND = 'counters'
 SERVICE_ID_COUNTER = 'service-ids'
 _NEXT_ID_KEY = 'next'
@@ -141,3 +143,95 @@
     return StoredService(
         documents.parse_service(stored.name, stored.value), stored.version
     )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredEvacuation:
+    """The evacuation of a data centre and the version of its object."""
+
+    data_centre: model.DataCentre
+    document: documents.EvacuationDocument
+    version: int
+
+
+class EvacuationRepository:
+    """Reads, creates and deletes the evacuations of data centres.
+
+    A data centre is evacuated while its object exists, whatever the value of
+    the object: other programs write objects without fields.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Store that holds the evacuations.
+    """
+
+    def __init__(self, store: platform.ObjectStore) -> None:
+        self._store = store
+
+    async def find(self, data_centre: str) -> StoredEvacuation | None:
+        """Return the evacuation; None if the data centre takes work."""
+        try:
+            stored = await self._store.get(
+                documents.EVACUATION_KIND, data_centre
+            )
+        except platform.NotFound:
+            return None
+        return _parse_evacuation(stored)
+
+    async def list_all(self) -> tuple[StoredEvacuation, ...]:
+        """Return all evacuations, sorted by data centre."""
+        listing = await self._store.list(documents.EVACUATION_KIND)
+        return tuple(
+            _parse_evacuation(stored)
+            for stored in sorted(listing.objects, key=lambda item: item.name)
+        )
+
+    async def collection_version(self) -> int:
+        """Return the version of the last change to any evacuation."""
+        return (await self._store.list(documents.EVACUATION_KIND)).version
+
+    async def create(
+        self, data_centre: str, document: documents.EvacuationDocument
+    ) -> StoredEvacuation:
+        """Store an evacuation that does not exist yet.
+
+        Raises
+        ------
+        StoreError
+            If the write fails, conflicts, or has an unknown outcome.
+        """
+        stored = await self._store.create(
+            documents.EVACUATION_KIND, data_centre, documents.to_json(document)
+        )
+        return _parse_evacuation(stored)
+
+    async def delete(self, evacuation: StoredEvacuation) -> None:
+        """Delete an evacuation if its version is unchanged.
+
+        Raises
+        ------
+        StoreError
+            If the deletion fails, conflicts, or has an unknown outcome.
+        """
+        await self._store.delete(
+            documents.EVACUATION_KIND,
+            evacuation.data_centre,
+            evacuation.version,
+        )
+
+
+def _parse_evacuation(stored: platform.StoredObject) -> StoredEvacuation:
+    try:
+        document = documents.parse(
+            documents.EvacuationDocument,
+            f'{documents.EVACUATION_KIND}.{stored.name}',
+            stored.value,
+        )
+    except findings.FindingsError as error:
+        # The object evacuates all the same; only its writer is unknown.
+        _LOG.warning('the writer of an evacuation cannot be read: %s', error)
+        document = documents.EvacuationDocument()
+    return StoredEvacuation(
+        model.DataCentre(stored.name), document, stored.version
+    )
--- a/acaciamoor/operator/server.py
+++ b/acaciamoor/operator/server.py
@@ -11,6 +11,7 @@
 from acaciamoor.model import documents
 from acaciamoor.operator import changes
 from acaciamoor.operator import editor as editors
+from acaciamoor.operator import evacuations
 from acaciamoor.operator import messages
 from acaciamoor.operator import operator_pb2
 from acaciamoor.operator import operator_pb2_grpc
@@ -21,6 +22,10 @@
 
 _LOG = logging.getLogger(__name__)
 _COMMON_NAME_PROPERTY = 'x509_common_name'
+_LOG_FIELDS_BY_KIND = {
+    editors.ServiceEditor: 'service',
+    evacuations.EvacuationEditor: 'target_data_centre',
+}
 # Called with the type names of a change and of its outcome.
 CountOutcome = collections.abc.Callable[[str, str], None]
 
@@ -32,6 +37,8 @@
     ----------
     editor : ServiceEditor
         Executes changes.
+    evacuation_editor : EvacuationEditor
+        Executes changes to the evacuations of data centres.
     store : ObjectStore
         Object store of the platform, for reads and watches.
     count_outcome : Callable
@@ -41,11 +48,14 @@
     def __init__(
         self,
         editor: editors.ServiceEditor,
+        evacuation_editor: evacuations.EvacuationEditor,
         store: platform.ObjectStore,
         count_outcome: CountOutcome = lambda change, outcome: None,
     ) -> None:
         self._editor = editor
+        self._evacuation_editor = evacuation_editor
         self._store = store
+        self._evacuations = repository.EvacuationRepository(store)
         self._services = repository.ServiceRepository(store)
         self._count_outcome = count_outcome
 
@@ -117,6 +127,7 @@
         try:
             version = await self._services.collection_version()
             found = await reuse.read_statuses(self._store)
+            evacuated = await self._evacuations.list_all()
         except (platform.StoreError, findings.FindingsError) as error:
             await _abort(context, error)
         return operator_pb2.GetStatusReply(
@@ -127,6 +138,29 @@
                 )
                 for name, item in sorted(found.items())
             ],
+            evacuations=map(messages.evacuation_message, evacuated),
+        )
+
+    async def EvacuateDataCentre(self, request, context):
+        """Send no new work to the upstreams of a data centre."""
+        return await self._change_evacuation(
+            changes.EvacuateDataCentre, request, context
+        )
+
+    async def TakeBackDataCentre(self, request, context):
+        """End the evacuation of a data centre."""
+        return await self._change_evacuation(
+            changes.TakeBackDataCentre, request, context
+        )
+
+    async def ListEvacuations(self, request, context):
+        """Return the evacuated data centres."""
+        try:
+            evacuated = await self._evacuations.list_all()
+        except platform.StoreError as error:
+            await _abort(context, error)
+        return operator_pb2.ListEvacuationsReply(
+            evacuations=map(messages.evacuation_message, evacuated)
         )
 
     async def _change(
@@ -138,7 +172,7 @@
             )
         except findings.FindingsError as error:
             return messages.reply_message(outcomes.Refused(error.findings))
-        return await self._execute(change)
+        return await self._execute(change, self._editor)
 
     async def _change_upstream(
         self,
@@ -153,12 +187,30 @@
             requested_by=_client_common_name(context) or target.requested_by,
             upstream_id=model.UpstreamId(request.upstream_id),
         )
-        return await self._execute(change)
+        return await self._execute(change, self._editor)
+
+    async def _change_evacuation(
+        self,
+        change_type: type[
+            changes.EvacuateDataCentre | changes.TakeBackDataCentre
+        ],
+        request: operator_pb2.EvacuationRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> operator_pb2.ChangeReply:
+        target = request.target
+        change = change_type(
+            name=target.name,
+            expected_version=target.expected_version,
+            requested_by=_client_common_name(context) or target.requested_by,
+        )
+        return await self._execute(change, self._evacuation_editor)
 
     async def _execute(
-        self, change: changes.Change
+        self,
+        change: changes.Change,
+        editor: editors.ServiceEditor | evacuations.EvacuationEditor,
     ) -> operator_pb2.ChangeReply:
-        outcome = await self._editor.execute(change)
+        outcome = await editor.execute(change)
         names = (type(change).__name__, type(outcome).__name__)
         self._count_outcome(*names)
         _LOG.info(
@@ -167,7 +219,7 @@
             change.requested_by or 'unnamed',
             names[1],
             extra={
-                'service': change.name,
+                _LOG_FIELDS_BY_KIND[type(editor)]: change.name,
                 'version': getattr(outcome, 'version', None),
             },
         )
--- a/acaciamoor/operator/tests/builders.py
+++ b/acaciamoor/operator/tests/builders.py
@@ -70,6 +70,18 @@
         """Return an operator whose calls do not fail."""
         return self.new_operator(seed)[0]
 
+    def evacuation_editor(
+        self, seed: int = 1, plan: memory.FaultPlan | None = None
+    ) -> operator.EvacuationEditor:
+        """Return an operator of evacuations, whose calls fail as planned."""
+        store = platform_builders.store(self.table, plan, seed)
+        return operator.EvacuationEditor(store, self.clock)
+
+    def evacuated(self) -> list[str]:
+        """Return the names of the evacuated data centres."""
+        listing = self.table.listing(documents.EVACUATION_KIND)
+        return sorted(stored.name for stored in listing.objects)
+
     def service(self, name: str = 'order-desk') -> model.Service | None:
         """Return the service, or None if it is not active."""
         stored = self.table.read(documents.SERVICE_KIND, name)
@@ -155,3 +167,21 @@
         requested_by='cho',
         upstream_id=model.UpstreamId(f'desk-{port}'),
     )
+
+
+def evacuation(
+    data_centre: str = builders.DATA_CENTRE, requested_by: str = 'ann'
+) -> operator.EvacuateDataCentre:
+    """Return the evacuation of a data centre."""
+    return operator.EvacuateDataCentre(
+        name=data_centre, requested_by=requested_by
+    )
+
+
+def take_back(
+    data_centre: str = builders.DATA_CENTRE, expected_version: int = 0
+) -> operator.TakeBackDataCentre:
+    """Return the end of the evacuation of a data centre."""
+    return operator.TakeBackDataCentre(
+        name=data_centre, requested_by='bob', expected_version=expected_version
+    )
--- a/acaciamoor/telemetry/logs.py
+++ b/acaciamoor/telemetry/logs.py
@@ -30,6 +30,7 @@
     'slots',
     'wait_ms',
     'retry_after_ms',
+    'target_data_centre',
 )
 
 
