--- a/acaciamoor/balancer/core/__init__.py
+++ b/acaciamoor/balancer/core/__init__.py
@@ -20,6 +20,7 @@
 from acaciamoor.balancer.core.events import CallerDatagrams
 from acaciamoor.balancer.core.events import Channel
 from acaciamoor.balancer.core.events import ChannelEmpty
+from acaciamoor.balancer.core.events import EvacuationRead
 from acaciamoor.balancer.core.events import Event
 from acaciamoor.balancer.core.events import Host
 from acaciamoor.balancer.core.events import HostsListed
@@ -46,6 +47,7 @@
     'CoreSettings',
     'Counters',
     'Effect',
+    'EvacuationRead',
     'Event',
     'Exit',
     'Gauge',
--- a/acaciamoor/balancer/core/compact.py
+++ b/acaciamoor/balancer/core/compact.py
@@ -64,7 +64,7 @@
     if dataclasses.is_dataclass(hint):
         return msgspec.defstruct(
             hint.__name__,
-            [(name, _wire_type(inner)) for name, inner in _fields(hint)],
+            _wire_fields(hint),
             array_like=True,
             frozen=True,
         )
@@ -82,6 +82,31 @@
     return origin[inner]
 
 
+def _wire_fields(cls: type) -> list[tuple]:
+    """Return the fields of the struct type, the last ones with defaults.
+
+    A message of a peer that runs an older version of the program lacks the
+    fields that were added at the end; these get their defaults. Fields that
+    the receiver does not know are ignored.
+    """
+    defaults_by_name = {
+        field.name: field.default for field in dataclasses.fields(cls)
+    }
+    described: list[tuple] = []
+    may_default = True
+    for name, hint in reversed(_fields(cls)):
+        default = defaults_by_name[name]
+        may_default = may_default and isinstance(
+            default, bool | int | float | str | None
+        )
+        described.append(
+            (name, _wire_type(hint), default)
+            if may_default
+            else (name, _wire_type(hint))
+        )
+    return described[::-1]
+
+
 def _to_wire(
     hint: TypeHint, value: typing.Any, wire_type: TypeHint
 ) -> typing.Any:
--- a/acaciamoor/balancer/core/control_plane.py
+++ b/acaciamoor/balancer/core/control_plane.py
@@ -77,6 +77,8 @@
         self._addresses_by_service: dict[int, model.Address] = {}
         self._logged_versions_by_service: dict[model.ServiceId, int] = {}
         self._is_watching = False
+        # Applied to all views; the store may already know a newer one.
+        self._evacuation: configuration.EvacuationState | None = None
 
     def connect(self, request_path: request_path.RequestPath) -> None:
         """Set the request path, which receives the members and services."""
@@ -143,6 +145,7 @@
         produced += self.send_all(
             self.store.tick(view, self.table.has_target_in_force)
         )
+        produced += self._apply_evacuation()
         produced += self._apply_changes()
         if self.store.is_complete and not self.view_synchronizer.started:
             self.view_synchronizer.start(set(self.store.services_by_id))
@@ -152,6 +155,11 @@
         produced += self._request_hosts()
         return produced + self._update_relay_role(view)
 
+    @property
+    def evacuated(self) -> bool:
+        """Whether the upstreams of the data centre get no new work."""
+        return self._evacuation is not None and self._evacuation.evacuated
+
     def upstream_at(
         self, address: events.SocketAddress
     ) -> tuple[model.ServiceId, model.UpstreamId] | None:
@@ -186,7 +194,26 @@
             service_health.version,
             service_health.unhealthy,
             service_health.lost,
+            self._evacuation.version if self._evacuation else 0,
+            self.evacuated,
+        )
+
+    def _apply_evacuation(self) -> Effects:
+        """Apply a change of the evacuation to the views of all services."""
+        state = self.store.take_evacuation()
+        if state is None:
+            return []
+        known, self._evacuation = self._evacuation, state
+        for service in self.store.services_by_id.values():
+            self.router.apply_view(self._view_of(service), state.age)
+        if known is not None and known.version == state.version:
+            return []
+        change = 'evacuated' if state.evacuated else 'taken back'
+        log = effects.WriteLog(
+            effects.Severity.WARNING,
+            f'the data centre is {change} from version {state.version}',
         )
+        return [log, *self.request_path.set_evacuated(state.evacuated)]
 
     def _apply_changes(self) -> Effects:
         produced: Effects = []
--- a/acaciamoor/balancer/core/core.py
+++ b/acaciamoor/balancer/core/core.py
@@ -267,6 +267,10 @@
         self.control_plane.store.on_change(event.change)
         return []
 
+    def _on_evacuation_read(self, event: events.EvacuationRead) -> Effects:
+        self.control_plane.store.on_evacuation(event.version, event.evacuated)
+        return []
+
     def _on_watch_alive(self, event: events.WatchAlive) -> Effects:
         self.control_plane.store.on_watch_alive(event.version)
         return []
@@ -318,6 +322,7 @@
     events.HostsListed: BalancerCore._on_hosts_listed,
     events.ServicesListed: BalancerCore._on_services_listed,
     events.ServiceChanged: BalancerCore._on_service_changed,
+    events.EvacuationRead: BalancerCore._on_evacuation_read,
     events.WatchAlive: BalancerCore._on_watch_alive,
     events.UpstreamPolled: BalancerCore._on_upstream_polled,
     events.KeysChanged: BalancerCore._on_keys_changed,
--- a/acaciamoor/balancer/core/effects.py
+++ b/acaciamoor/balancer/core/effects.py
@@ -35,7 +35,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetWatch:
-    """Start or stop the watch of the services on the platform."""
+    """Start or stop the watches of services and evacuations."""
 
     active: bool
 
--- a/acaciamoor/balancer/core/events.py
+++ b/acaciamoor/balancer/core/events.py
@@ -93,6 +93,14 @@
     change: configuration.ServiceVersion
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationRead:
+    """Whether the platform holds an evacuation of this data centre."""
+
+    version: int
+    evacuated: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchAlive:
     """The watch has delivered everything up to a version."""
@@ -147,6 +155,7 @@
     | HostsListed
     | ServicesListed
     | ServiceChanged
+    | EvacuationRead
     | WatchAlive
     | UpstreamPolled
     | KeysChanged
--- a/acaciamoor/balancer/core/gauges.py
+++ b/acaciamoor/balancer/core/gauges.py
@@ -25,6 +25,7 @@
         '',
         'Collection version that is in force.',
     )
+    EVACUATED = ('evacuated', '', '1 while the data centre is evacuated.')
     RECORDED_FLOWS = ('recorded_flows', '', 'Flows with a record here.')
     RECORD_BYTES = ('record_bytes', '', 'Memory of the records.')
     RETAINED_VIEWS = ('retained_views', '', 'Views that packets may need.')
@@ -102,6 +103,7 @@
     Gauge.VERSION_IN_FORCE: lambda core: {
         '': core.control_plane.store.version_in_force()
     },
+    Gauge.EVACUATED: lambda core: {'': float(core.control_plane.evacuated)},
     Gauge.RECORDED_FLOWS: lambda core: {
         '': core.control_plane.router.recorded_flows
     },
--- a/acaciamoor/balancer/core/placer_manager.py
+++ b/acaciamoor/balancer/core/placer_manager.py
@@ -1,6 +1,7 @@
 """Keeps the placers of this host consistent with services and members."""
 
 import collections.abc
+import dataclasses
 import datetime
 
 from acaciamoor.balancer.core import effects
@@ -37,6 +38,7 @@
         self._placers = placers
         self._placer_invoker = invoker
         self._clock = clock
+        self._is_evacuated = False
 
     def set_members(self, members: model.MembershipView) -> Effects:
         """Replace the members; create placers of shards this host leads."""
@@ -52,6 +54,18 @@
         self.services_by_id[service.service_id] = service
         return self._apply(service)
 
+    def set_evacuated(self, evacuated: bool) -> Effects:
+        """Stop binding requests, or bind them again.
+
+        Requests that run are not affected.
+        """
+        self._is_evacuated = evacuated
+        return [
+            effect
+            for service in self.services_by_id.values()
+            for effect in self._apply(service)
+        ]
+
     def remove_service(self, service_id: model.ServiceId) -> Effects:
         """Stop binding requests of a deleted service."""
         self.services_by_id.pop(service_id, None)
@@ -63,7 +77,7 @@
             return
         service = self.services_by_id[key.service_id]
         entry = self._placers.get_or_create(key, service.policy)
-        entry.upstreams = self._placers.upstreams_of(key, service)
+        entry.upstreams = self._upstreams_of(key, service)
         self._placer_invoker.call(
             key, lambda placer: placer.set_upstreams(entry.upstreams)
         )
@@ -75,7 +89,7 @@
             if not exists and not self._placers.leads(key):
                 continue
             entry = self._placers.get_or_create(key, service.policy)
-            upstreams = self._placers.upstreams_of(key, service)
+            upstreams = self._upstreams_of(key, service)
             entry.upstreams = upstreams
             entry.retired_at = None
             produced += self._placer_invoker.call(
@@ -87,6 +101,18 @@
             )
         return produced
 
+    def _upstreams_of(
+        self, key: placer_registry.ShardKey, service: model.Service
+    ) -> tuple[model.Upstream, ...]:
+        upstreams = self._placers.upstreams_of(key, service)
+        if not self._is_evacuated:
+            return upstreams
+        draining = model.UpstreamState.DRAINING
+        return tuple(
+            dataclasses.replace(upstream, state=draining)
+            for upstream in upstreams
+        )
+
     def _apply_resharding(self, service: model.Service) -> Effects:
         """Apply a change of the number of shards.
 
--- a/acaciamoor/balancer/core/request_path.py
+++ b/acaciamoor/balancer/core/request_path.py
@@ -81,6 +81,10 @@
         self._effect_builder.set_service_name(service.service_id, service.name)
         return self._placer_manager.set_service(service)
 
+    def set_evacuated(self, evacuated: bool) -> Effects:
+        """Apply an evacuation or its end at once, as `set_service` does."""
+        return self._placer_manager.set_evacuated(evacuated)
+
     def remove_service(self, service_id: model.ServiceId) -> Effects:
         """Stop binding requests of a deleted service."""
         return self._placer_manager.remove_service(service_id)
--- a/acaciamoor/balancer/shell/platform_task.py
+++ b/acaciamoor/balancer/shell/platform_task.py
@@ -1,4 +1,4 @@
-"""Connection to the platform: host list, services, watch and status."""
+"""Connection to the platform: hosts, services, evacuations and status."""
 
 import asyncio
 import collections.abc
@@ -30,7 +30,7 @@
 
     Every host reads the host list at its start and then rarely. It reads the
     services only if its peers don't send them in time. Only relays watch the
-    services.
+    services and the evacuations.
 
     Parameters
     ----------
@@ -63,7 +63,7 @@
         self._post = post
         self._rng = rng
         self._host_interval = host_interval
-        self._watch_task: asyncio.Task | None = None
+        self._watch_tasks: tuple[asyncio.Task, ...] = ()
         self._status_task: asyncio.Task | None = None
 
     async def run(self) -> None:
@@ -77,19 +77,21 @@
                 ):
                     group.create_task(supervision.supervise(name, run))
         finally:
-            for task in (self._watch_task, self._status_task):
+            for task in (*self._watch_tasks, self._status_task):
                 if task is not None:
                     task.cancel()
 
     def set_watch(self, active: bool) -> None:
-        """Start or stop the watch of the services."""
-        if self._watch_task is not None:
-            self._watch_task.cancel()
-            self._watch_task = None
+        """Start or stop the watches of the services and the evacuations."""
+        for task in self._watch_tasks:
+            task.cancel()
+        self._watch_tasks = ()
         if active:
-            self._watch_task = asyncio.create_task(
-                supervision.supervise(
-                    'watching the services', self._watch_services
+            self._watch_tasks = tuple(
+                asyncio.create_task(supervision.supervise(name, run))
+                for name, run in (
+                    ('watching the services', self._watch_services),
+                    ('watching the evacuations', self._watch_evacuations),
                 )
             )
 
@@ -122,15 +124,14 @@
     async def _repair_divergence(self) -> None:
         while True:
             await asyncio.sleep(DIVERGENCE_CHECK_INTERVAL.total_seconds())
-            if (
-                self._watch_task is not None
-                and self._core.control_plane.store.diverged
-            ):
+            if self._watch_tasks and self._core.control_plane.store.diverged:
                 LOG.warning('a peer has other services at this version')
                 await self._list_services()
 
     async def _list_services(self) -> None:
         try:
+            # First, since a complete host takes work.
+            await self._list_evacuations()
             listing = await self._store.list(documents.SERVICE_KIND)
         except platform.StoreError as error:
             LOG.warning('the services cannot be read: %s', error)
@@ -147,6 +148,33 @@
             )
         )
 
+    async def _list_evacuations(self) -> None:
+        try:
+            listing = await self._store.list(documents.EVACUATION_KIND)
+        except platform.NotFound as error:
+            # A platform without this kind of objects holds no evacuations.
+            LOG.warning('the evacuations cannot be listed: %s', error)
+            return
+        names = {stored.name for stored in listing.objects}
+        self._post(
+            cores.EvacuationRead(
+                listing.version, str(self._data_centre) in names
+            )
+        )
+
+    async def _watch_evacuations(self) -> None:
+        # From the beginning, so that the watch itself knows all objects and
+        # reports a deletion even after its history was dropped.
+        evacuated = False
+        async for event in self._store.watch(documents.EVACUATION_KIND, 0):
+            if event.stored is not None:
+                if event.stored.name != str(self._data_centre):
+                    continue
+                evacuated = event.event_type is not platform.EventType.DELETED
+            # A bookmark without an object of this data centre before it is
+            # the only sign that an evacuation ended before the watch began.
+            self._post(cores.EvacuationRead(event.version, evacuated))
+
     async def _watch_services(self) -> None:
         after = self._core.control_plane.store.version
         async for event in self._store.watch(documents.SERVICE_KIND, after):
--- a/acaciamoor/configuration/__init__.py
+++ b/acaciamoor/configuration/__init__.py
@@ -3,6 +3,7 @@
 from acaciamoor.configuration.effects import Send
 from acaciamoor.configuration.messages import ConfigurationDigest
 from acaciamoor.configuration.messages import Delta
+from acaciamoor.configuration.messages import EvacuationState
 from acaciamoor.configuration.messages import Message
 from acaciamoor.configuration.messages import ServiceVersion
 from acaciamoor.configuration.messages import Snapshot
@@ -15,6 +16,7 @@
     'ConfigurationDigest',
     'ConfigurationStore',
     'Delta',
+    'EvacuationState',
     'Message',
     'Send',
     'ServiceVersion',
--- a/acaciamoor/configuration/messages.py
+++ b/acaciamoor/configuration/messages.py
@@ -6,6 +6,25 @@
 from acaciamoor import model
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationState:
+    """Whether the data centre of the sender is evacuated.
+
+    Parameters
+    ----------
+    version : int
+        Version of the evacuation or of its end. Unsigned 64-bit.
+    evacuated : bool
+        Whether the data centre is evacuated from this version on.
+    age : datetime.timedelta
+        Time since a relay received the version, as known to the sender.
+    """
+
+    version: int
+    evacuated: bool
+    age: datetime.timedelta
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationDigest:
     """Digest of constant size of a host's configuration.
@@ -27,6 +46,9 @@
         Collection version that the status object is to report next.
     target_in_force : bool
         Whether `target` is in force on the host.
+    evacuation : EvacuationState or None
+        Last evacuation of the data centre, or its end; None if the host
+        knows of none, or runs a version of the program without evacuations.
     """
 
     version: int
@@ -35,6 +57,7 @@
     published_age: datetime.timedelta | None = None
     target: int = 0
     target_in_force: bool = False
+    evacuation: EvacuationState | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/acaciamoor/configuration/store.py
+++ b/acaciamoor/configuration/store.py
@@ -7,6 +7,7 @@
 
 from acaciamoor import clock as clocks
 from acaciamoor.configuration import effects
+from acaciamoor.configuration import evacuation_tracker
 from acaciamoor.configuration import freshness_tracker
 from acaciamoor.configuration import messages
 from acaciamoor.configuration import relay
@@ -55,6 +56,7 @@
         )
         self._relay_selector = relay.RelaySelector(host_id)
         self._status_reporter = relay.StatusReporter()
+        self._evacuation = evacuation_tracker.EvacuationTracker()
         self._is_first_relay = False
 
     @property
@@ -153,6 +155,17 @@
         """
         self._freshness.on_watch_alive(version, self._clock.monotonic())
 
+    def on_evacuation(self, version: int, evacuated: bool) -> None:
+        """Apply whether the platform holds an evacuation at `version`."""
+        self._evacuation.observe(version, evacuated, self._clock.monotonic())
+
+    def take_evacuation(self) -> messages.EvacuationState | None:
+        """Return the evacuation if it or its age changed since the last call.
+
+        As in `take_changes`, a larger age returns it again.
+        """
+        return self._evacuation.take_change(self._clock.monotonic())
+
     def on_digest(
         self,
         sender: identifiers.HostId,
@@ -172,6 +185,9 @@
             None if it is unknown, in which case the digest confirms nothing.
         """
         self._status_reporter.on_target(digest.target)
+        # Before the confirmation in the digest, which covers the evacuation.
+        if digest.evacuation is not None:
+            self._evacuation.adopt(digest.evacuation, self._clock.monotonic())
         return self._synchronizer.on_digest(sender, digest, created_after)
 
     def on_message(
@@ -220,6 +236,7 @@
             target=self._status_reporter.target,
             target_in_force=self.version_in_force()
             >= self._status_reporter.target,
+            evacuation=self._evacuation.state(now),
         )
 
     def delta_since(
--- a/acaciamoor/flows/messages.py
+++ b/acaciamoor/flows/messages.py
@@ -11,8 +11,8 @@
 MESSAGE_OVERHEAD_BYTES = 256
 # An unsigned 64-bit number in MessagePack.
 FLOW_BYTES = 9
-# A `ViewNeed` in MessagePack.
-NEED_BYTES = 24
+# A `ViewNeed` in MessagePack: two arrays, a 32-bit and three 64-bit numbers.
+NEED_BYTES = 34
 
 
 class HopPurpose(enum.IntEnum):
--- a/acaciamoor/flows/tests/test_messages.py
+++ b/acaciamoor/flows/tests/test_messages.py
@@ -16,7 +16,8 @@
     def test_counted_size_is_an_upper_bound(self):
         """Guards against a codec change that exceeds the byte budget."""
         flow = 2**64 - 1
-        need = flows.ViewNeed(2**32 - 1, views.ViewVersion(2**40, 2**40))
+        version = views.ViewVersion(2**40, 2**40, 2**40)
+        need = flows.ViewNeed(2**32 - 1, version)
         for message in (
             flows.PutRecords(NAME, 2**32 - 1, NAME, (flow,) * 120, True),
             flows.PutRecords(NAME, 1, NAME, (flow,)),
--- a/acaciamoor/harness/control_sizes.py
+++ b/acaciamoor/harness/control_sizes.py
@@ -14,6 +14,8 @@
 # Framing, sender, key identifier and authentication code.
 _OVERHEAD_BYTES = 88
 _DIGEST_BYTES = 48
+# Version, age and flag, present after the first evacuation only.
+_EVACUATION_BYTES = 24
 _UPDATE_BYTES = 32
 _PROBE_BYTES = 48
 _EVIDENCE_BYTES = 32
@@ -44,9 +46,15 @@
     )
 
 
+def _digest_size(digest: configuration.ConfigurationDigest | None) -> int:
+    if not digest:
+        return 0
+    return _DIGEST_BYTES + (_EVACUATION_BYTES if digest.evacuation else 0)
+
+
 @wire_size.register
 def _(message: membership.Probe) -> int:
-    digest = _DIGEST_BYTES if message.digest else 0
+    digest = _digest_size(message.digest)
     updates = _updates_size((message.member, *message.updates))
     return _OVERHEAD_BYTES + _PROBE_BYTES + digest + updates
 
@@ -54,7 +62,7 @@
 @wire_size.register
 def _(message: membership.ProbeAck) -> int:
     size = _OVERHEAD_BYTES + _PROBE_BYTES
-    size += _DIGEST_BYTES if message.digest else 0
+    size += _digest_size(message.digest)
     size += _updates_size((message.member, *message.updates, *message.page))
     if message.round_trip_ages:
         size += _EVIDENCE_BYTES
--- a/acaciamoor/views/view.py
+++ b/acaciamoor/views/view.py
@@ -7,7 +7,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class ViewVersion:
-    """Version of a view, ordered by configuration, then by health.
+    """Version of a view: configuration, then health, then evacuation.
 
     Parameters
     ----------
@@ -15,10 +15,14 @@
         Version of the service in the platform.
     health : int
         Version of the health state of its upstreams in this data centre.
+    evacuation : int
+        Version of the last evacuation of this data centre, or of its end; 0
+        before the first one.
     """
 
     configuration: int
     health: int = 0
+    evacuation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,13 +34,16 @@
     service_id : ServiceId
         The service.
     version : ViewVersion
-        Version of the configuration and health that the view is built from.
+        Versions of what the view is built from.
     upstreams : tuple of Upstream
         All existing upstreams, including draining ones, sorted by identifier.
     unhealthy : frozenset of UpstreamId
         Upstreams that receive no new flows but keep their open flows.
     lost : frozenset of UpstreamId
         Dead upstreams, whose open flows are refused.
+    evacuated : bool
+        Whether the data centre is evacuated: no upstream gets new flows, and
+        open flows stay.
     """
 
     service_id: model.ServiceId
@@ -44,6 +51,7 @@
     upstreams: tuple[model.Upstream, ...]
     unhealthy: frozenset[model.UpstreamId] = frozenset()
     lost: frozenset[model.UpstreamId] = frozenset()
+    evacuated: bool = False
 
     @classmethod
     def of(
@@ -53,19 +61,24 @@
         health: int = 0,
         unhealthy: frozenset[model.UpstreamId] = frozenset(),
         lost: frozenset[model.UpstreamId] = frozenset(),
+        evacuation: int = 0,
+        evacuated: bool = False,
     ) -> 'ServiceView':
         """Return the view of `service` for the hosts of `data_centre`."""
         return cls(
             service.service_id,
-            ViewVersion(service.version, health),
+            ViewVersion(service.version, health, evacuation),
             service.upstreams_in(data_centre),
             unhealthy,
             lost,
+            evacuated,
         )
 
     @property
     def candidates(self) -> tuple[model.Upstream, ...]:
         """Upstreams that are eligible for new flows."""
+        if self.evacuated:
+            return ()
         excluded = self.unhealthy | self.lost
         return tuple(
             upstream
