--- a/acaciamoor/balancer/tests/test_core.py
+++ b/acaciamoor/balancer/tests/test_core.py
@@ -107,6 +107,78 @@
             self.assertNotIn(port, self.fleet.ports_reached(flow))
 
 
+class EvacuationTest(BalancerNetworkTestCase):
+    def ports_of_new_work(self, first, count=40):
+        """Return the ports that new requests and new flows reach."""
+        reached = set()
+        for flow in range(first, first + count):
+            kind = KIND.REQUEST if flow % 2 else KIND.OPEN
+            self.send_to_random_host(kind, flow, request=flow % 2)
+            self.fleet.run(0.05)
+            reached.update(self.fleet.ports_reached(flow))
+        return reached
+
+    def test_evacuated_data_centre_gets_no_new_work(self):
+        """Guards against work for upstreams that are about to be cut off."""
+        self.fleet.set_evacuated(True)
+        self.fleet.run(4)
+        self.assertEqual(set(), self.ports_of_new_work(100))
+        reasons = {envelope.reason for envelope in self.fleet.to_callers}
+        self.assertEqual({'no-upstream'}, reasons)
+        self.fleet.set_evacuated(False)
+        self.fleet.run(5)
+        self.assertEqual(7, len(self.ports_of_new_work(200, 80)))
+
+    def test_open_streams_stay_until_taken_back_and_after(self):
+        """Guards against an evacuation that moves or refuses streams."""
+        flows = range(1000, 1040)
+        for flow in flows:
+            self.send_to_random_host(KIND.OPEN, flow)
+        self.fleet.run(1)
+        ports = {flow: set(self.fleet.ports_reached(flow)) for flow in flows}
+        # Longer than views without a need are retained.
+        for second in range(80):
+            if second in (1, 72):
+                self.fleet.set_evacuated(second == 1)
+            for flow in flows:
+                self.send_to_random_host(KIND.DATA, flow)
+            self.fleet.run(1)
+        refused = [
+            envelope
+            for envelope in self.fleet.to_callers
+            if envelope.kind is KIND.REFUSAL
+        ]
+        self.assertEqual([], refused)
+        for flow in flows:
+            self.assertEqual(ports[flow], set(self.fleet.ports_reached(flow)))
+            self.assertEqual(81, len(self.fleet.ports_reached(flow)))
+
+    def test_balancer_that_starts_without_the_platform_places_nothing(self):
+        """Guards against a host that knows services but no evacuation."""
+        self.fleet.set_evacuated(True)
+        self.fleet.run(4)
+        self.fleet.is_platform_up = False
+        host = self.leader()
+        self.fleet.kill(host)
+        del self.fleet.cores_by_host[host]
+        self.fleet.run(3)
+        self.fleet.start(host)
+        self.assertEqual(set(), self.ports_of_new_work(100, 200))
+        core = self.fleet.cores_by_host[host]
+        self.assertIs(cores.State.SERVING, core.state())
+        self.assertTrue(core.control_plane.evacuated)
+
+    def test_running_request_of_an_evacuated_data_centre_is_answered(self):
+        """Guards against a placer that gives up what it has bound."""
+        self.fleet.run_time = 2 * builders.SECOND
+        self.send_to_random_host(KIND.REQUEST, 5, request=1)
+        self.fleet.run(0.5)
+        self.fleet.set_evacuated(True)
+        self.fleet.run(3)
+        (answer,) = self.answers(5, 1)
+        self.assertIs(KIND.ANSWER, answer.kind)
+
+
 class ReshardingTest(unittest.TestCase):
     def test_request_of_a_merged_shard_does_not_run_again(self):
         """Guards against coverage that ignores requests of another shard."""
--- a/acaciamoor/balancer/tests/test_fuzz_core.py
+++ b/acaciamoor/balancer/tests/test_fuzz_core.py
@@ -25,6 +25,7 @@
         strategies.just('send_request'), _SERVICE, strategies.booleans()
     ),
     strategies.tuples(strategies.just('drain'), _SERVICE),
+    strategies.tuples(strategies.just('evacuate'), strategies.booleans()),
     strategies.tuples(
         strategies.sampled_from(['kill', 'freeze', 'cut', 'repair'])
     ),
--- a/acaciamoor/configuration/tests/test_store.py
+++ b/acaciamoor/configuration/tests/test_store.py
@@ -109,6 +109,65 @@
         self.assertEqual(2 * SECOND, received.age)
 
 
+class EvacuationTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        self.store = store(self.clock)
+        self.store.on_listing(1, [])
+
+    def test_stale_watch_and_older_peer_change_nothing(self):
+        """Guards against ending an evacuation by outdated knowledge."""
+        older = store(self.clock)
+        older.on_evacuation(3, True)
+        older.on_evacuation(4, False)
+        self.store.on_evacuation(5, True)
+        self.store.on_evacuation(4, False)
+        self.store.on_digest(PEER, older.digest(), None)
+        self.assertEqual((5, True), self._taken())
+        older.on_digest(PEER, self.store.digest(), None)
+        self.assertTrue(older.take_evacuation().evacuated)
+
+    def test_confirmation_of_the_state_creates_no_version(self):
+        """Guards against new views whenever a relay lists or hears a bookmark.
+
+        Hosts would count many versions of the same views.
+        """
+        self.store.on_evacuation(5, False)
+        self.assertIsNone(self.store.digest().evacuation)
+        self.store.on_evacuation(6, True)
+        self.assertEqual((6, True), self._taken())
+        self.store.on_evacuation(9, True)
+        self.assertIsNone(self.store.take_evacuation())
+
+    def test_age_grows_and_the_larger_one_wins(self):
+        """Guards against views that activate at different times."""
+        late = store(self.clock)
+        self.store.on_evacuation(5, True)
+        self.clock.advance(SECOND)
+        late.on_evacuation(5, True)
+        self.assertEqual(0 * SECOND, late.take_evacuation().age)
+        late.on_digest(PEER, self.store.digest(), None)
+        self.assertEqual(SECOND, late.take_evacuation().age)
+        late.on_digest(PEER, store(self.clock).digest(), None)
+        self.assertIsNone(late.take_evacuation())
+
+    def test_confirmation_comes_with_the_evacuation(self):
+        """Guards against a fresh host that lacks an evacuation in force."""
+        self.store.on_evacuation(5, True)
+        self.clock.advance(3 * SECOND)
+        self.store.tick(view(('a',)), lambda host: True)
+        behind = store(self.clock)
+        behind.on_listing(1, [])
+        self.assertFalse(behind.fresh)
+        behind.on_digest(PEER, self.store.digest(), self.clock.monotonic())
+        self.assertTrue(behind.fresh)
+        self.assertTrue(behind.take_evacuation().evacuated)
+
+    def _taken(self):
+        state = self.store.take_evacuation()
+        return state.version, state.evacuated
+
+
 class TransferTest(unittest.TestCase):
     def setUp(self):
         self.clock = clocks.ManualClock()
--- a/acaciamoor/harness/balancers.py
+++ b/acaciamoor/harness/balancers.py
@@ -43,7 +43,8 @@
     upstreams are its hosts ``up-<port>``. Upstreams answer after `run_time`
     if `is_answering` is set. While `is_recording` is set, the envelopes that
     upstreams receive are added to `received_by_port`, and the answers and
-    refusals sent to callers to `to_callers`.
+    refusals sent to callers to `to_callers`. Watches and the listings of a
+    starting balancer are delivered while `is_platform_up` is set.
 
     Parameters
     ----------
@@ -65,11 +66,13 @@
         self.services = services
         self.is_answering = True
         self.is_recording = True
+        self.is_platform_up = True
         self.run_time = datetime.timedelta(0)
         self.received_by_port: dict[int, list[wire.Envelope]] = {}
         self.to_callers: list[wire.Envelope] = []
         self.exited_hosts: set[str] = set()
         self.watching_hosts: set[str] = set()
+        self._evacuation = cores.EvacuationRead(0, evacuated=False)
         self.cores_by_host: dict[str, cores.BalancerCore] = {}
         self._hosts_by_peer_port: dict[int, str] = {}
         self._peers_by_host: dict[str, tuple[str, int]] = {}
@@ -101,10 +104,12 @@
         self.network.add_host(
             host, lambda sender, event: self.dispatch(host, event)
         )
-        self.dispatch(host, self._hosts_listed_event())
-        self.dispatch(
-            host, cores.ServicesListed(self.version, tuple(self.services))
-        )
+        if self.is_platform_up:
+            self.dispatch(host, self._hosts_listed_event())
+            self.dispatch(host, self._evacuation)
+            self.dispatch(
+                host, cores.ServicesListed(self.version, tuple(self.services))
+            )
         self._schedule_ticks(host)
 
     def run(self, seconds: float) -> None:
@@ -134,6 +139,14 @@
         for host in self.watching_hosts:
             self.dispatch(host, cores.ServiceChanged(change))
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Evacuate the data centre or take it back; tell all watches."""
+        self._evacuation = cores.EvacuationRead(
+            self._evacuation.version + 1, evacuated
+        )
+        for host in self.watching_hosts:
+            self.dispatch(host, self._evacuation)
+
     def kill(self, host: str) -> None:
         """Stop a balancer without notice."""
         self.network.remove_host(host)
@@ -187,7 +200,7 @@
         def confirm() -> None:
             if self.cores_by_host[host] is not core:
                 return
-            if host in self.watching_hosts:
+            if host in self.watching_hosts and self.is_platform_up:
                 self.dispatch(host, cores.WatchAlive(self.version))
             self.network.call_later(SECOND / 2, confirm, host=host)
 
@@ -210,7 +223,8 @@
                     if held
                     else self.watching_hosts.discard
                 )(host)
-                if held:
+                if held and self.is_platform_up:
+                    self.dispatch(host, self._evacuation)
                     self.dispatch(host, cores.WatchAlive(self.version))
             case cores.Exit():
                 self.exited_hosts.add(host)
--- a/acaciamoor/operator/evacuations.py
+++ b/acaciamoor/operator/evacuations.py
@@ -1,6 +1,7 @@
 """Execution of evacuations of data centres by conditional writes."""
 
 import functools
+import logging
 
 from acaciamoor import clock as clocks
 from acaciamoor import findings
@@ -12,6 +13,10 @@
 from acaciamoor.operator import repository
 import acaciamoor.platform as platform
 
+_LOG = logging.getLogger(__name__)
+# A fleet has thousands of services; some of them show what is wrong.
+_MAX_NOTICES = 20
+
 
 class EvacuationEditor:
     """Evacuates data centres and takes them back.
@@ -108,8 +113,9 @@
             await self._evacuations.delete(current)
         try:
             version = await self._evacuations.collection_version()
-        except platform.StoreError:
+        except platform.StoreError as error:
             # A deletion has no version of its own in the reply of the store.
+            _LOG.warning('the version after a deletion is unknown: %s', error)
             version = 0
         return outcomes.Accepted(version)
 
@@ -118,17 +124,35 @@
     ) -> tuple[findings.Finding, ...]:
         try:
             _, found = await self._services.list_active()
+            evacuated = {
+                item.data_centre for item in await self._evacuations.list_all()
+            }
         except (platform.StoreError, findings.FindingsError) as error:
             message = f'the services cannot be read: {error}'
             return (findings.Finding(_place(data_centre), message),)
-        if any(
-            upstream.data_centre == data_centre
+        upstreams_by_service = {
+            item.document.name: item.document.upstreams_by_id.values()
             for item in found
-            for upstream in item.document.upstreams_by_id.values()
+        }
+        if not any(
+            upstream.data_centre == data_centre
+            for upstreams in upstreams_by_service.values()
+            for upstream in upstreams
         ):
-            return ()
-        message = 'no service has upstreams in this data centre'
-        return (findings.Finding(_place(data_centre), message),)
+            message = 'no service has upstreams in this data centre'
+            return (findings.Finding(_place(data_centre), message),)
+        return tuple(
+            findings.Finding(
+                f'{documents.SERVICE_KIND}.{name}',
+                'takes no new work: all its data centres are evacuated',
+            )
+            for name, upstreams in sorted(upstreams_by_service.items())
+            if all(
+                upstream.data_centre in evacuated
+                for upstream in upstreams
+                if upstream.state is model.UpstreamState.ACTIVE
+            )
+        )[:_MAX_NOTICES]
 
 
 def _place(data_centre: str | model.DataCentre) -> str:
