--- a/acaciamoor/balancer/shell/platform_task.py
+++ b/acaciamoor/balancer/shell/platform_task.py
@@ -155,10 +155,20 @@
             # A platform without this kind of objects holds no evacuations.
             LOG.warning('the evacuations cannot be listed: %s', error)
             return
-        names = {stored.name for stored in listing.objects}
+        # All hosts must know an evacuation by the same version, so that they
+        # derive the same views.
+        version = next(
+            (
+                stored.version
+                for stored in listing.objects
+                if stored.name == str(self._data_centre)
+            ),
+            None,
+        )
         self._post(
             cores.EvacuationRead(
-                listing.version, str(self._data_centre) in names
+                listing.version if version is None else version,
+                version is not None,
             )
         )
 
--- a/acaciamoor/balancer/tests/test_platform_task.py
+++ b/acaciamoor/balancer/tests/test_platform_task.py
@@ -94,7 +94,8 @@
 
     async def test_services_are_not_listed_without_the_evacuations(self):
         """Guards against a complete host that knows no evacuation yet."""
-        await self.evacuate(DATA_CENTRE)
+        created = await self.evacuate(DATA_CENTRE)
+        await self.evacuate('kgn-b')
         answers = [memory.UNAVAILABLE]
         self.transport.plan = lambda call: (
             answers.pop() if answers else memory.APPLIED
@@ -106,4 +107,7 @@
             [cores.EvacuationRead, cores.ServicesListed],
             [type(event) for event in self.events],
         )
-        self.assertTrue(self.events[0].evacuated)
+        # Not the version of the listing, which differs between hosts.
+        self.assertEqual(
+            cores.EvacuationRead(created.version, True), self.events[0]
+        )
--- a/acaciamoor/harness/balancers.py
+++ b/acaciamoor/harness/balancers.py
@@ -141,6 +141,8 @@
 
     def set_evacuated(self, evacuated: bool) -> None:
         """Evacuate the data centre or take it back; tell all watches."""
+        if evacuated == self._evacuation.evacuated:
+            return
         self._evacuation = cores.EvacuationRead(
             self._evacuation.version + 1, evacuated
         )
