--- a/acaciamoor/flows/service.py
+++ b/acaciamoor/flows/service.py
@@ -67,6 +67,11 @@
             service_views.ViewVersion, numpy.ndarray
         ] = {}
         self._tabulated_versions: tuple[service_views.ViewVersion, ...] = ()
+        # Last candidates and their defaults. All services get the table of
+        # before at once when an evacuation ends.
+        self._last_defaults: tuple[
+            tuple[upstreams.Upstream, ...], numpy.ndarray | None
+        ] = ((), None)
 
     def add_view(
         self,
@@ -178,17 +183,22 @@
             return known
         for upstream in view.upstreams:
             self._register_upstream(upstream)
-        weights = buckets.candidate_weights(view.candidates)
-        if not weights:
+        candidates = view.candidates
+        if not candidates:
             return numpy.full(
                 buckets.BUCKET_COUNT, AMBIGUOUS, dtype=numpy.int16
             )
-        by_id = {item.upstream_id: item for item in view.candidates}
+        if self._last_defaults[0] == candidates:
+            return self._last_defaults[1]
+        weights = buckets.candidate_weights(candidates)
+        by_id = {item.upstream_id: item for item in candidates}
         indexes = numpy.array(
             [self._register_upstream(by_id[name]) for name, _ in weights],
             dtype=numpy.int16,
         )
-        return indexes[buckets.assign_buckets(weights)]
+        table = indexes[buckets.assign_buckets(weights)]
+        self._last_defaults = (candidates, table)
+        return table
 
     def _register_upstream(self, upstream: upstreams.Upstream) -> int:
         key = (upstream.upstream_id, upstream.address)
