--- a/acaciamoor/balancer/tests/test_processes.py
+++ b/acaciamoor/balancer/tests/test_processes.py
@@ -15,6 +15,7 @@
 from acaciamoor.demo import launcher as launchers
 from acaciamoor.demo import site as sites
 import acaciamoor.hashing as hashing
+from acaciamoor.model import documents
 
 SERVICE = 'order-desk'
 # Ends a test that hangs.
@@ -98,6 +99,61 @@
         await asyncio.sleep(2)
         await self.end_callers(caller)
 
+    async def read_metric(self, name):
+        """Return the sum of the samples of a metric of each balancer."""
+        values = []
+        for addresses in self.site.balancers_by_host.values():
+            text = await fetch(f'http://{addresses.metrics}/metrics')
+            prefix = f'acaciamoor_balancer_{name}'
+            values.append(
+                sum(
+                    float(line.rpartition(' ')[2])
+                    for line in text.splitlines()
+                    if line.startswith(prefix)
+                )
+            )
+        return values
+
+    async def wait_until_evacuated(self, evacuated):
+        """Wait until all balancers know whether their site is evacuated."""
+        async with asyncio.timeout(EXIT_TIMEOUT.total_seconds()):
+            while await self.read_metric('evacuated') != [evacuated] * 3:
+                await asyncio.sleep(0.1)
+
+    async def test_evacuation_outlives_a_restart_during_an_outage(self):
+        """Guards against new work by a process that cannot ask the platform.
+
+        Also guards against a relay that misses the end of an evacuation.
+        """
+        caller = self.start_callers()
+        await asyncio.sleep(2)
+        async with self.fleet.store() as store:
+            evacuation = await store.create(
+                documents.EVACUATION_KIND, sites.DATA_CENTRE, {}
+            )
+        await self.wait_until_evacuated(1.0)
+        await self.fleet.set_platform_faults({'outage': True})
+        self.launcher.kill(self.placer)
+        await asyncio.sleep(1)
+        self.start_balancer(self.placer)
+        await self.fleet.wait_until_ready()
+        await self.wait_until_evacuated(1.0)
+        before = await self.read_metric('new_work_total')
+        await asyncio.sleep(2)
+        self.assertEqual(before, await self.read_metric('new_work_total'))
+        await self.fleet.set_platform_faults({})
+        async with self.fleet.store() as store:
+            await store.delete(
+                documents.EVACUATION_KIND,
+                sites.DATA_CENTRE,
+                evacuation.version,
+            )
+        await self.wait_until_evacuated(0.0)
+        await asyncio.sleep(2)
+        after = await self.read_metric('new_work_total')
+        self.assertGreater(sum(after), sum(before))
+        await self.end_callers(caller)
+
     async def test_frozen_placer_resumes(self):
         """Guards against a paused placer that runs stale requests."""
         caller = self.start_callers()
