--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -7,6 +7,7 @@
 from acaciamoor import hashing
 from acaciamoor import model
 from acaciamoor import openings
+from acaciamoor import pacing
 from acaciamoor import tokens
 from acaciamoor.forwarder import core_settings
 from acaciamoor.forwarder import effects
@@ -18,10 +19,12 @@
 _NOT_FROM_CALLER = effects.Drop(effects.DropReason.NOT_FROM_CALLER)
 _UNKNOWN_TOKEN = effects.Drop(effects.DropReason.UNKNOWN_TOKEN)
 _EVACUATED = effects.Drop(effects.DropReason.EVACUATED)
+_WARM_UP = effects.Drop(effects.DropReason.WARM_UP)
 _OUTDATED = effects.Drop(effects.DropReason.OUTDATED)
 _DUPLICATE = effects.Drop(effects.DropReason.DUPLICATE)
 _WAIT_FOR_CONFIGURATION = effects.Wait(effects.WaitReason.NO_CONFIGURATION)
 _WAIT_FOR_UPSTREAM = effects.Wait(effects.WaitReason.NO_UPSTREAM)
+_WAIT_FOR_PACE = effects.Wait(effects.WaitReason.WARM_UP)
 _ZERO = datetime.timedelta(0)
 
 
@@ -57,6 +60,7 @@
         self._observations: list[effects.Observation] = []
         # Services without upstreams, and since when.
         self._empty_since_by_service: dict[str, datetime.timedelta] = {}
+        self.pacer = pacing.WarmUpPacer(settings.pacing, settings.host_id)
         self.placer = openings.OpeningPlacer(
             settings.data_centre,
             self.load_tracker,
@@ -170,6 +174,7 @@
             self.load_tracker.forget(upstream_id)
             self.failure_detector.forget(upstream_id)
             self.placer.forget(upstream_id)
+            self.pacer.forget(upstream_id)
 
     def _handle_opening(
         self,
@@ -218,13 +223,17 @@
         elif opening.service not in route.weights_by_service:
             self._pending.pop(opening.key)
             return _OUTDATED
-        candidates = self._candidates(opening, now)
+        available = self._candidates(opening, now)
+        candidates = self._select_paced(opening, available, now)
         entry = self.placer.choose(
             candidates, route.kind, opening.tried_ids, now
         )
         if entry is None:
+            if available:
+                return self._handle_slow_service(opening, available, now)
             return self._handle_empty_service(opening, now)
         self._empty_since_by_service.pop(opening.service, None)
+        self.pacer.record_opening(entry.upstream_id, now)
         opening.tried_ids.append(entry.upstream_id)
         opening.last_tried_at = now
         self._pending.put(opening)
@@ -241,6 +250,65 @@
             ),
         )
 
+    def _select_paced(
+        self,
+        opening: openings.Opening,
+        entries: list[directories.UpstreamEntry],
+        now: datetime.timedelta,
+    ) -> list[directories.UpstreamEntry]:
+        """Return the upstreams where the pace of warm-up allows a flow.
+
+        There are none for an opening behind others that wait for the pace.
+        """
+        limits = self._get_limits(opening.service)
+        if limits is None or not limits.warm_up_rate:
+            return entries
+        may_open = self.pacer.may_open
+        paced = [
+            entry
+            for entry in entries
+            if may_open(entry.upstream_id, limits, now)
+        ]
+        if len(paced) < len(entries) and now == opening.received_at:
+            return [] if self._count_waiting(opening.service) else paced
+        return paced
+
+    def _count_waiting(self, service: str) -> int:
+        return sum(
+            opening.service == service for opening in self._pending.unplaced()
+        )
+
+    def _get_limits(self, service: str) -> directories.ServiceLimits | None:
+        return self._directory.table.limits_by_service.get(service)
+
+    def _handle_slow_service(
+        self,
+        opening: openings.Opening,
+        entries: list[directories.UpstreamEntry],
+        now: datetime.timedelta,
+    ) -> effects.Decision:
+        """Keep an opening until the pace allows it, if it ever will.
+
+        Callers that cannot be served before they give up learn it at once,
+        and may return through another host.
+        """
+        self._empty_since_by_service.pop(opening.service, None)
+        if now > opening.received_at:
+            # It has its place in the line, or an upstream has seen it.
+            return self._wait(opening, now, _WAIT_FOR_PACE)
+        ahead = self._count_waiting(opening.service)
+        limits = self._get_limits(opening.service)
+        until = now + self._settings.opening_lifetime
+        room = sum(
+            self.pacer.count_openings(entry.upstream_id, limits, now, until)
+            for entry in entries
+        )
+        if ahead < room:
+            return self._wait(opening, now, _WAIT_FOR_PACE)
+        return self._refuse(
+            opening, now, effects.RefusalReason.WARM_UP, _WARM_UP
+        )
+
     def _handle_empty_service(
         self,
         opening: openings.Opening,
--- a/acaciamoor/forwarder/core_settings.py
+++ b/acaciamoor/forwarder/core_settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from acaciamoor import model
+from acaciamoor import pacing as pacers
 
 
 class CoreSettings(msgspec.Struct, frozen=True):
@@ -34,6 +35,10 @@
     hold_limit : datetime.timedelta
         Time for which a packet of an open flow waits for the first list of
         upstreams. By then its caller has retransmitted it or given up.
+    host_id : HostId
+        Identifier of this host.
+    pacing : PacingSettings or None
+        Settings for the pace at upstreams in warm-up; None if no bound is set.
     """
 
     data_centre: model.DataCentre
@@ -45,3 +50,5 @@
     pause_threshold: datetime.timedelta = datetime.timedelta(milliseconds=1500)
     idle_timeout: datetime.timedelta = datetime.timedelta(seconds=15)
     hold_limit: datetime.timedelta = datetime.timedelta(seconds=1)
+    host_id: model.HostId = model.HostId('')
+    pacing: pacers.PacingSettings | None = None
--- a/acaciamoor/forwarder/effects.py
+++ b/acaciamoor/forwarder/effects.py
@@ -20,6 +20,8 @@
     NO_UPSTREAM = 'no_upstream'
     OUTDATED = 'outdated'
     EVACUATED = 'evacuated'
+    # The pace of upstreams in warm-up leaves no room.
+    WARM_UP = 'warm_up'
     # The upstream has had no time yet to answer the previous copy.
     DUPLICATE = 'duplicate'
 
@@ -31,6 +33,8 @@
     NO_UPSTREAM = 'no_upstream'
     # All upstreams of the service are in evacuated data centres.
     EVACUATED = 'evacuated'
+    # All upstreams are in warm-up, and others wait that take all room.
+    WARM_UP = 'warm_up'
 
 
 class WaitReason(enum.Enum):
@@ -38,6 +42,7 @@
 
     NO_CONFIGURATION = 'no_configuration'
     NO_UPSTREAM = 'no_upstream'
+    WARM_UP = 'warm_up'
 
 
 class Forward(typing.NamedTuple):
--- a/acaciamoor/forwarder/shell/directory_updater.py
+++ b/acaciamoor/forwarder/shell/directory_updater.py
@@ -100,6 +100,17 @@
         """Record how many hosts share the callers of the data centre."""
         self._core.placer.local_hosts = count
 
+    def set_known_hosts(
+        self,
+        hosts_by_data_centre: collections.abc.Mapping[
+            model.DataCentre, tuple[model.HostId, ...]
+        ],
+    ) -> None:
+        """Record which hosts share the pace at upstreams in warm-up."""
+        self._core.pacer.update_hosts(
+            hosts_by_data_centre, self._clock.monotonic()
+        )
+
     def _apply_evacuations(
         self,
         replica: replicas.Replica,
@@ -230,6 +241,7 @@
         self._core.placer.set_warm_up(
             upstream_id, entry.remaining_warm_up, now
         )
+        self._core.pacer.set_warm_up(upstream_id, entry.remaining_warm_up, now)
         return entry.upstream.state.value
 
 
--- a/acaciamoor/forwarder/shell/discovery.py
+++ b/acaciamoor/forwarder/shell/discovery.py
@@ -67,6 +67,16 @@
         self._started_at = clock.monotonic()
         self._registered = False
         self._store_era = 0
+        # Start of the last read of the list that succeeded.
+        self._read_at: datetime.timedelta | None = None
+
+    @property
+    def has_searched(self) -> bool:
+        """Whether hosts that started with this one had time to register."""
+        return (
+            self._read_at is not None
+            and self._read_at - self._started_at >= self._peers.search_period
+        )
 
     def register_again(self, store_era: int) -> None:
         """Check the entry of this host, which a restored store may lack.
@@ -141,6 +151,7 @@
         self._on_found(
             self._peers.add(peer for peer in found if peer is not None)
         )
+        self._read_at = now
         if self._may_register(self._clock.monotonic()):
             self._registered = await self._register(listing)
 
--- a/acaciamoor/forwarder/shell/driver.py
+++ b/acaciamoor/forwarder/shell/driver.py
@@ -183,6 +183,7 @@
                 'the process was stopped; pending openings are discarded'
             )
             self._core.discard_pending()
+            self._core.pacer.settle_again(now)
             self.on_resume()
         return now, paused
 
@@ -203,6 +204,9 @@
     def place(self, placement: effects.Placement) -> None:
         """Send the opening packet of a flow to the chosen upstream."""
         self.forward(placement.forward)
+        self._core.pacer.record_sent(
+            placement.forward.upstream_id, self._clock.monotonic()
+        )
         self._observer.record_placement(placement)
 
     def refuse(self, refusal: effects.Refusal) -> None:
--- a/acaciamoor/forwarder/shell/store_synchronizer.py
+++ b/acaciamoor/forwarder/shell/store_synchronizer.py
@@ -106,6 +106,8 @@
         self._seeds_failed = asyncio.Event()
         # Number of hosts of the data centre, as others of it say.
         self._local_hosts_by_address: dict[model.Address, int] = {}
+        # Revision of the host list that the updater knows.
+        self._known_revision: int | None = None
         self._last_role = replicas.Role.ALONE
         self._last_era: int | None = None
 
@@ -254,6 +256,7 @@
             relays = self._peers.relays(now)
             self._links.update(relays, self._initialized, now)
             self._update_local_hosts(relays, now)
+            self._update_known_hosts()
             await asyncio.sleep(limits.SOURCE_CHECK_INTERVAL.total_seconds())
 
     def _update_local_hosts(
@@ -269,6 +272,15 @@
         self._server.local_hosts = count
         self._updater.set_local_hosts(count)
 
+    def _update_known_hosts(self) -> None:
+        peers = self._peers
+        if peers.revision == self._known_revision:
+            return
+        # A host that knows no other one has asked no one yet, or is alone.
+        if len(peers) > 1 or self._host_list_reader.has_searched:
+            self._known_revision = peers.revision
+            self._updater.set_known_hosts(peers.hosts_by_data_centre)
+
     def _count_hosts_below(self) -> int:
         # Elsewhere, the listeners of this host are known otherwise, or listen
         # to it only while they start.
--- a/acaciamoor/replica/peers.py
+++ b/acaciamoor/replica/peers.py
@@ -127,6 +127,8 @@
             model.HostId, datetime.timedelta
         ] = {}
         self._failures_by_id: dict[model.HostId, int] = {}
+        # Grows when hosts are added or replaced.
+        self.revision = 0
 
     def __len__(self) -> int:
         return len(self._peers_by_id)
@@ -155,9 +157,20 @@
         for peer in changed:
             self._peers_by_id[peer.host_id] = peer
         if changed:
+            self.revision += 1
             self._rank()
         return changed
 
+    @property
+    def hosts_by_data_centre(
+        self,
+    ) -> dict[model.DataCentre, tuple[model.HostId, ...]]:
+        """Known hosts: all of the own data centre, a few of the others."""
+        return {
+            data_centre: tuple(peer.host_id for peer in ranked)
+            for data_centre, ranked in self._ranked_by_data_centre.items()
+        }
+
     def select_shared(
         self, data_centre: model.DataCentre
     ) -> collections.abc.Iterator[Peer]:
