--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -60,6 +60,9 @@
         self._observations: list[effects.Observation] = []
         # Services without upstreams, and since when.
         self._empty_since_by_service: dict[str, datetime.timedelta] = {}
+        # Services for which openings wait for the pace of warm-up, and since
+        # when the last one does.
+        self._waited_at_by_service: dict[str, datetime.timedelta] = {}
         self.pacer = pacing.WarmUpPacer(settings.pacing, settings.host_id)
         self.placer = openings.OpeningPlacer(
             settings.data_centre,
@@ -263,17 +266,25 @@
         limits = self._get_limits(opening.service)
         if limits is None or not limits.warm_up_rate:
             return entries
+        if now == opening.received_at and self._count_waiting(
+            opening.service, now
+        ):
+            return []
         may_open = self.pacer.may_open
-        paced = [
+        return [
             entry
             for entry in entries
             if may_open(entry.upstream_id, limits, now)
         ]
-        if len(paced) < len(entries) and now == opening.received_at:
-            return [] if self._count_waiting(opening.service) else paced
-        return paced
 
-    def _count_waiting(self, service: str) -> int:
+    def _count_waiting(self, service: str, now: datetime.timedelta) -> int:
+        """Return the number of openings that wait for the pace."""
+        waited_at = self._waited_at_by_service.get(service)
+        if waited_at is None:
+            return 0
+        if now - waited_at > self._settings.opening_lifetime:
+            del self._waited_at_by_service[service]
+            return 0
         return sum(
             opening.service == service for opening in self._pending.unplaced()
         )
@@ -296,7 +307,7 @@
         if now > opening.received_at:
             # It has its place in the line, or an upstream has seen it.
             return self._wait(opening, now, _WAIT_FOR_PACE)
-        ahead = self._count_waiting(opening.service)
+        ahead = self._count_waiting(opening.service, now)
         limits = self._get_limits(opening.service)
         until = now + self._settings.opening_lifetime
         room = sum(
@@ -304,6 +315,7 @@
             for entry in entries
         )
         if ahead < room:
+            self._waited_at_by_service[opening.service] = now
             return self._wait(opening, now, _WAIT_FOR_PACE)
         return self._refuse(
             opening, now, effects.RefusalReason.WARM_UP, _WARM_UP
--- a/acaciamoor/forwarder/tests/test_data_centre.py
+++ b/acaciamoor/forwarder/tests/test_data_centre.py
@@ -180,6 +180,8 @@
         for host_id, updater in self.updaters_by_id.items():
             with self.subTest(host=host_id):
                 self.assertAlmostEqual(36, updater.local_hosts, delta=2)
+                known = updater.hosts_by_data_centre
+                self.assertEqual(36, len(known['kgn-a']))
 
 
 class FirstStartTest(DataCentreTestCase):
@@ -274,6 +276,9 @@
             for host_id, updater in self.updaters_by_id.items()
         }
         self.assertEqual({3}, set(counts.values()), counts)
+        for updater in self.updaters_by_id.values():
+            known = updater.hosts_by_data_centre
+            self.assertEqual([3, 3, 3], [len(item) for item in known.values()])
 
     async def test_change_arrives_while_relay_and_standby_are_cut_off(self):
         """Guards against a site that trusts two hosts with old replicas."""
--- a/acaciamoor/forwarder/tests/test_store_synchronizer.py
+++ b/acaciamoor/forwarder/tests/test_store_synchronizer.py
@@ -4,6 +4,7 @@
 import datetime
 import random
 import unittest
+from unittest import mock
 
 import uvloop
 
@@ -45,6 +46,7 @@
     def __init__(self):
         self.names_by_source = {}
         self.kinds = set()
+        self.hosts_by_data_centre = None
         self.changed = asyncio.Event()
 
     def apply(self, replica, events, source, failed_at=None):
@@ -56,6 +58,9 @@
     def set_local_hosts(self, count):
         self.local_hosts = count
 
+    def set_known_hosts(self, hosts_by_data_centre):
+        self.hosts_by_data_centre = hosts_by_data_centre
+
     async def wait_for(self, name: str) -> None:
         """Wait until an object was received from any source."""
         while not any(
@@ -139,6 +144,19 @@
         await asyncio.wait_for(second.wait_for('routes-first'), 10)
         self.assertIn(str(address), second.names_by_source)
 
+    async def test_host_is_alone_only_if_the_store_says_so(self):
+        """Guards against a host that takes all openings of a site."""
+        unreachable = Store()
+        unreachable.down = True
+        with mock.patch.object(replica.PeerList, 'search_period', 0 * SECOND):
+            unknown, _ = self.start(unreachable)
+            alone, address = self.start(Store())
+            await asyncio.sleep(1.2)
+        self.assertIsNone(unknown.hosts_by_data_centre)
+        self.assertEqual(
+            {'kgn-a': (str(address),)}, alone.hosts_by_data_centre
+        )
+
     async def test_host_does_not_start_from_a_stale_listing(self):
         """Guards against upstreams that have left, used after a restart."""
 
