--- a/acaciamoor/forwarder/shell/discovery.py
+++ b/acaciamoor/forwarder/shell/discovery.py
@@ -70,6 +70,11 @@
         # Start of the last read of the list that succeeded.
         self._read_at: datetime.timedelta | None = None
 
+    @property
+    def has_read(self) -> bool:
+        """Whether the list was read."""
+        return self._read_at is not None
+
     @property
     def has_searched(self) -> bool:
         """Whether hosts that started with this one had time to register."""
--- a/acaciamoor/forwarder/shell/store_synchronizer.py
+++ b/acaciamoor/forwarder/shell/store_synchronizer.py
@@ -106,6 +106,8 @@
         self._seeds_failed = asyncio.Event()
         # Number of hosts of the data centre, as others of it say.
         self._local_hosts_by_address: dict[model.Address, int] = {}
+        # Whether a host of the data centre has sent the hosts that it knows.
+        self._heard_locally = False
         # Revision of the host list that the updater knows.
         self._known_revision: int | None = None
         self._last_role = replicas.Role.ALONE
@@ -256,7 +258,7 @@
             relays = self._peers.relays(now)
             self._links.update(relays, self._initialized, now)
             self._update_local_hosts(relays, now)
-            self._update_known_hosts()
+            self._update_known_hosts(now)
             await asyncio.sleep(limits.SOURCE_CHECK_INTERVAL.total_seconds())
 
     def _update_local_hosts(
@@ -272,14 +274,30 @@
         self._server.local_hosts = count
         self._updater.set_local_hosts(count)
 
-    def _update_known_hosts(self) -> None:
-        peers = self._peers
-        if peers.revision == self._known_revision:
-            return
-        # A host that knows no other one has asked no one yet, or is alone.
-        if len(peers) > 1 or self._host_list_reader.has_searched:
-            self._known_revision = peers.revision
-            self._updater.set_known_hosts(peers.hosts_by_data_centre)
+    def _update_known_hosts(self, now: datetime.timedelta) -> None:
+        revision = self._peers.revision
+        if revision != self._known_revision and self._knows_hosts(now):
+            self._known_revision = revision
+            self._updater.set_known_hosts(self._peers.hosts_by_data_centre)
+
+    def _knows_hosts(self, now: datetime.timedelta) -> bool:
+        """Return whether all hosts of the data centre are known.
+
+        Only some hosts register in the store. The others are known to each
+        host of the data centre, and to the first one, which all listen to.
+        """
+        peers, reader = self._peers, self._host_list_reader
+        if self._heard_locally:
+            return True
+        if len(peers) == 1:
+            return reader.has_searched
+        if peers.all_registered:
+            return reader.has_read
+        return (
+            peers.leads_data_centre(now)
+            and self._server.count_local_listeners() > 0
+            and self._server.count_local_hosts() <= peers.local_count
+        )
 
     def _count_hosts_below(self) -> int:
         # Elsewhere, the listeners of this host are known otherwise, or listen
@@ -344,6 +362,8 @@
         """Update the ages of the replicas from a heartbeat of a relay."""
         if beat.data_centre == self._settings.own.data_centre:
             self._local_hosts_by_address[peer.address] = beat.hosts
+            # Each connection begins with the hosts that the other one knows.
+            self._heard_locally = True
         if not beat.progress_by_kind:
             self._stop_waiting_for_seeds()
         confirmed = False
--- a/acaciamoor/load/scenarios/warm_up_pace.py
+++ b/acaciamoor/load/scenarios/warm_up_pace.py
@@ -164,10 +164,13 @@
 
     def open_at_once(self, at_s: float) -> None:
         """Let two flows arrive at each host at the same time."""
-        for host in 2 * self.hosts:
-            self.schedule(
-                at_s, lambda now_s, host=host: self._try(host, now_s)
-            )
+        for host in self.hosts:
+            self.open_through(host, 2, at_s)
+
+    def open_through(self, host: Host, count: int, at_s: float) -> None:
+        """Let flows arrive at a host at the same time."""
+        for _ in range(count):
+            self.schedule(at_s, lambda now_s: self._try(host, now_s))
 
     def run(self) -> None:
         """Carry out all that is scheduled."""
--- a/acaciamoor/pacing/tests/test_pacing.py
+++ b/acaciamoor/pacing/tests/test_pacing.py
@@ -76,10 +76,7 @@
                 wrong = site.hosts[0]
                 wrong.restart(site.upstream_ids, 0.0)
                 wrong.learn({wrong.data_centre: [wrong.name]}, 0.0)
-                for _ in range(BOUND):
-                    site.schedule(
-                        9.0, lambda at, own=wrong: site._try(own, at)
-                    )
+                site.open_through(wrong, BOUND, 9.0)
                 replay(site)
                 self.assertGreater(site.count_most(), BOUND)
                 self.assertLessEqual(site.count_most(), 2 * BOUND)
--- a/acaciamoor/replica/peers.py
+++ b/acaciamoor/replica/peers.py
@@ -161,6 +161,16 @@
             self._rank()
         return changed
 
+    @property
+    def local_count(self) -> int:
+        """Number of known hosts of the own data centre."""
+        return len(self._local)
+
+    @property
+    def all_registered(self) -> bool:
+        """Whether so few local hosts are known that all register."""
+        return self.local_count < self._settings.max_registered
+
     @property
     def hosts_by_data_centre(
         self,
