--- a/acaciamoor/forwarder/tests/test_driver.py
+++ b/acaciamoor/forwarder/tests/test_driver.py
@@ -50,8 +50,9 @@
 
 
 class DriverTest(unittest.IsolatedAsyncioTestCase):
-    def start(self, socket, core):
+    def start(self, socket, core, time=None):
         """Return the observer of a driver that reads `socket`."""
+        time = time or clock.ManualClock()
         observer = observers.Observer(
             clock.ManualClock(), lambda: sync_status.SyncStatus(1, 1, 0)
         )
@@ -60,7 +61,7 @@
             Codec(),
             socket,
             observer,
-            clock.ManualClock(),
+            time,
             forwarder.CoreSettings('kgn-a').pause_threshold,
         )
         driver.start(asyncio.get_running_loop())
@@ -83,6 +84,29 @@
             ' 1', '\n'.join(observer.failures.lines()), 'errors are counted'
         )
 
+    async def test_pacer_learns_of_pauses_and_of_what_was_sent(self):
+        """Guards against counts that a stopped process puts in the past."""
+        core, time = mock.Mock(), clock.ManualClock()
+        core.take_observations.return_value = []
+        core.next_retry_at.return_value = None
+        forward = forwarder.Forward(b'', 'desk-1', ('127.0.0.1', 1), 1, 1)
+
+        def place(*_):
+            time.advance(700 * builders.MS)
+            return forwarder.Placement((0, 1, 0, 2), forward, '', 1, 0, 1, 0)
+
+        core.handle.side_effect = place
+        socket = Socket(b'1')
+        self.start(socket, core, time)
+        time.advance(1600 * builders.MS)
+        paused_until = time.monotonic()
+        with self.assertLogs(level='WARNING'):
+            socket.on_readable()
+        core.pacer.settle_again.assert_called_once_with(paused_until)
+        core.pacer.record_sent.assert_called_once_with(
+            'desk-1', paused_until + 700 * builders.MS
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/acaciamoor/forwarder/tests/test_warm_up.py
+++ b/acaciamoor/forwarder/tests/test_warm_up.py
@@ -131,6 +131,22 @@
         ]
         self.assertLessEqual(chosen.count('desk-1'), 2)
 
+    def test_warm_upstream_leaves_no_one_refused(self):
+        """Guards against a refusal because of others that wait.
+
+        The upstream registers after the line has formed.
+        """
+        self.fill()
+        for port in (1, 2):
+            self.open_flow(10 * MS, port)
+        self.directory.put_upstream(
+            directory_builders.upstream_entry('desk-2')
+        )
+        for port in range(3, 10):
+            self.assertEqual(WAITING, self.open_flow(20 * MS, port))
+        sent = self.core.resume_waiting(21 * MS)
+        self.assertEqual(list(range(1, 10)), [item.key[1] for item in sent])
+
     def test_nothing_changes_without_a_rate(self):
         """Guards against a limit that the configuration does not set."""
         table = make_table(rate=0.0)
--- a/acaciamoor/pacing/pacer.py
+++ b/acaciamoor/pacing/pacer.py
@@ -205,10 +205,9 @@
         now: datetime.timedelta,
         until: datetime.timedelta,
     ) -> int:
-        """Return how many flows this host may open before `until`.
-
-        The upstream is in warm-up.
-        """
+        """Return how many flows this host may open before `until`."""
+        if not self._is_limited(upstream_id, limits, now):
+            return _MAX_BOUND
         share = self._find_share(upstream_id, limits, now)
         if not share:
             return 0
