--- a/acaciamoor/forwarder/shell/directory_updater.py
+++ b/acaciamoor/forwarder/shell/directory_updater.py
@@ -100,6 +100,26 @@
         """Record how many hosts share the callers of the data centre."""
         self._core.placer.local_hosts = count
 
+    def set_known_hosts(
+        self,
+        hosts_by_data_centre: collections.abc.Mapping[
+            model.DataCentre, tuple[model.HostId, ...]
+        ],
+    ) -> None:
+        """Record which hosts share the pace at upstreams in warm-up."""
+        now = self._clock.monotonic()
+        if self._core.pacer.update_hosts(hosts_by_data_centre, now):
+            _LOG.info(
+                '%d hosts share the pace of upstreams in warm-up',
+                sum(len(hosts) for hosts in hosts_by_data_centre.values()),
+                extra={
+                    'hosts': ' '.join(
+                        f'{data_centre}:{len(hosts)}'
+                        for data_centre, hosts in hosts_by_data_centre.items()
+                    ),
+                },
+            )
+
     def _apply_evacuations(
         self,
         replica: replicas.Replica,
@@ -230,6 +250,7 @@
         self._core.placer.set_warm_up(
             upstream_id, entry.remaining_warm_up, now
         )
+        self._core.pacer.set_warm_up(upstream_id, entry.remaining_warm_up, now)
         return entry.upstream.state.value
 
 
