--- a/acaciamoor/load_reports/report.py
+++ b/acaciamoor/load_reports/report.py
@@ -57,6 +57,23 @@
             self.unanswered,
         )
 
+    def plus(self, other: 'UpstreamLoad') -> 'UpstreamLoad':
+        """Return the sum of two loads of the upstream.
+
+        Sums stay within the range of a report, as they are sent on.
+        """
+        return UpstreamLoad(
+            self.upstream_id,
+            min(self.in_progress + other.in_progress, MAX_COUNT),
+            min(self.open_flows + other.open_flows, MAX_COUNT),
+            min(self.started + other.started, MAX_COUNT),
+            min(self.finished + other.finished, MAX_COUNT),
+            min(self.busy_seconds + other.busy_seconds, float(MAX_COUNT)),
+            min(self.rejected + other.rejected, MAX_COUNT),
+            min(self.openings + other.openings, MAX_COUNT),
+            min(self.unanswered + other.unanswered, MAX_COUNT),
+        )
+
 
 class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
     """New flows for a service over routes of one priority.
@@ -152,3 +169,7 @@
 
     def __post_init__(self) -> None:
         _check_numbers(self.hosts, self.age, self.interval)
+        if len(self.upstreams) > MAX_UPSTREAMS:
+            raise ValueError(
+                f'a summary of {len(self.upstreams)} upstreams is too large'
+            )
