--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -5,6 +5,7 @@
 
 from acaciamoor import directory as directories
 from acaciamoor import hashing
+from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor import openings
 from acaciamoor import tokens
@@ -36,6 +37,8 @@
         Routes and upstreams.
     random_source : random.Random
         Source of randomness for ties between upstreams.
+    load_collector : LoadCollector or None
+        Counts the load that passes this host, for its reports.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         settings: core_settings.CoreSettings,
         directory: directories.Directory,
         random_source: random.Random,
+        load_collector: load_reports.LoadCollector | None = None,
     ) -> None:
         self._settings = settings
         self._directory = directory
@@ -51,8 +55,13 @@
         self.load_tracker = openings.LoadTracker()
         demand_tracker = openings.DemandTracker()
         self.failure_detector = openings.FailureDetector()
+        self.load_collector = load_collector or load_reports.LoadCollector(
+            '', settings.data_centre, 0
+        )
         self._flow_tracker = openings.FlowTracker(
-            self.load_tracker, demand_tracker
+            self.load_tracker,
+            demand_tracker,
+            load_collector=self.load_collector,
         )
         self._observations: list[effects.Observation] = []
         # Services without upstreams, and since when.
@@ -169,6 +178,7 @@
         for upstream_id in self._directory.expire(now):
             self.load_tracker.forget(upstream_id)
             self.failure_detector.forget(upstream_id)
+            self.load_collector.forget(upstream_id)
             self.placer.forget(upstream_id)
 
     def _handle_opening(
@@ -225,6 +235,9 @@
         if entry is None:
             return self._handle_empty_service(opening, now)
         self._empty_since_by_service.pop(opening.service, None)
+        if not opening.tried_ids:
+            self.load_collector.add_demand(opening.service, route.priority)
+        self.load_collector.add_opening(entry.upstream_id)
         opening.tried_ids.append(entry.upstream_id)
         opening.last_tried_at = now
         self._pending.put(opening)
@@ -271,6 +284,11 @@
         """Refuse a flow that no upstream can have seen; else drop a copy."""
         self._pending.pop(opening.key)
         if _is_refusable(opening, now):
+            route = self._directory.find_route(opening.address)
+            if route is not None:
+                self.load_collector.add_demand(
+                    opening.service, route.priority, refused=True
+                )
             return effects.Refusal(opening.key, reason)
         return otherwise
 
@@ -334,7 +352,7 @@
         if opening is not None:
             self._record_answer(opening, upstream_id, now)
         if packet.ends:
-            self._flow_tracker.record_end(key, now)
+            self._flow_tracker.record_end(key, now, packet.acknowledged)
         else:
             self._flow_tracker.record_packet(
                 key,
@@ -374,6 +392,7 @@
         if silence >= self._settings.opening_lifetime:
             return
         upstream_id = opening.tried_ids[-1]
+        self.load_collector.add_unanswered(upstream_id)
         if self.failure_detector.record_timeout(upstream_id, now):
             self._observations.append(
                 effects.UpstreamSuspected(upstream_id, opening.key, silence)
--- /dev/null
+++ b/acaciamoor/forwarder/shell/load_exchange.py
@@ -0,0 +1,359 @@
+"""Exchange of load reports over the connections between hosts."""
+
+import asyncio
+import collections.abc
+import datetime
+import functools
+import logging
+
+import msgspec
+
+from acaciamoor import clock as clocks
+from acaciamoor import load_reports
+from acaciamoor import replica as replicas
+from acaciamoor.forwarder.shell import relay_server
+from acaciamoor.telemetry import bounded
+from acaciamoor.telemetry import exposition
+
+_LOG = logging.getLogger(__name__)
+_SECOND = datetime.timedelta(seconds=1)
+_ENCODER = msgspec.msgpack.Encoder()
+_REPORT_DECODER = msgspec.msgpack.Decoder(load_reports.HostReport)
+_SUMMARY_DECODER = msgspec.msgpack.Decoder(load_reports.LoadSummary)
+
+# Share of the interval between reports by which a summary for other data
+# centres may be early; timers are late by milliseconds.
+_EARLY_SHARE = 0.25
+
+SendToRelay = collections.abc.Callable[
+    [replicas.Peer, replicas.Report | replicas.Summary], bool
+]
+
+
+class LoadExchange:
+    """Sends the reports of this host, and passes on sums.
+
+    A host reports to the first relay that it listens to. A host that others
+    report to sums their reports with its own: the first host of a data centre
+    for all hosts, a branch for a report of its own.
+
+    Parameters
+    ----------
+    own : Peer
+        This host.
+    collector : LoadCollector
+        Counts the load that passes this host.
+    picture : LoadPicture
+        Receives the sums.
+    peers : PeerList
+        Known hosts, which tell what this host does.
+    server : RelayServer
+        Connections of listeners.
+    send_to_relay : callable
+        Sends a message to a relay; returns whether its connection took it.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        own: replicas.Peer,
+        collector: load_reports.LoadCollector,
+        picture: load_reports.LoadPicture,
+        peers: replicas.PeerList,
+        server: relay_server.RelayServer,
+        send_to_relay: SendToRelay,
+        clock: clocks.Clock,
+    ) -> None:
+        self._own = own
+        self._collector = collector
+        self._picture = picture
+        self._peers = peers
+        self._server = server
+        self._send_to_relay = send_to_relay
+        self._clock = clock
+        self._aggregator = load_reports.ReportAggregator(
+            own.host_id, own.data_centre, collector.incarnation
+        )
+        self._active = False
+        self._was_fresh = False
+        self._pace = load_reports.Pace.of(1, 1)
+        # When the sum of this data centre was last sent to others.
+        self._sent_abroad_at: datetime.timedelta | None = None
+        self._rate_limiter = bounded.LogRateLimiter(clock)
+        self.messages = exposition.Counter(
+            'acaciamoor_forwarder_load_messages_total',
+            'Reports and summaries of loads by what became of them.',
+        )
+
+    async def run(self) -> None:
+        """Exchange reports until cancelled."""
+        while True:
+            self.exchange()
+            await asyncio.sleep(self._pace.interval.total_seconds())
+
+    def exchange(self) -> None:
+        """Send the report, or the sum of reports, of an interval."""
+        now = self._clock.monotonic()
+        self._log_freshness(now)
+        hosts = self._server.local_hosts
+        if hosts < load_reports.MIN_HOSTS:
+            self._active = False
+            return
+        known = self._picture.summaries(now).keys() | {self._own.data_centre}
+        self._pace = load_reports.Pace.of(hosts, len(known))
+        report = self._collector.take_report(now)
+        if not self._active:
+            # Its counts are those since the start, or since the data centre
+            # last had enough hosts.
+            self._active = True
+            return
+        self._aggregator.record(report, now)
+        if self._peers.leads_data_centre(now):
+            self._send_summary(now)
+        else:
+            self._send_report(now)
+
+    def receive_from_listener(
+        self,
+        host_id: str,
+        data_centre: str,
+        message: replicas.Report | replicas.Summary,
+        delay: datetime.timedelta,
+    ) -> None:
+        """Handle a message of a listener; see `relay_server.OnReport`."""
+        sent_at = self._clock.monotonic() - delay
+        _receive(message, self, host_id, data_centre, sent_at)
+
+    def receive_summary(
+        self,
+        message: replicas.Summary,
+        host_id: str,
+        sent_at: datetime.timedelta,
+    ) -> load_reports.LoadSummary | None:
+        """Record a summary, and send it to those that report to this host.
+
+        Parameters
+        ----------
+        message : Summary
+            The message.
+        host_id : str
+            Host that sent it.
+        sent_at : datetime.timedelta
+            Time at which it was sent.
+
+        Returns
+        -------
+        LoadSummary or None
+            The summary; None if it is malformed or no news.
+        """
+        try:
+            summary = _SUMMARY_DECODER.decode(message.body)
+        except msgspec.MsgspecError as error:
+            self._refuse('summary', host_id, str(error))
+            return None
+        if not self._picture.record(summary, sent_at):
+            # Also a second copy, which came another way.
+            self.messages.add(type='summary', outcome='ignored')
+            return None
+        self.messages.add(type='summary', outcome='received')
+        own = self._own.data_centre
+        self._send_to_listeners(
+            _age(summary, self._clock.monotonic() - sent_at),
+            # Another data centre needs no sum of its own hosts.
+            lambda host, data_centre: (
+                host != host_id
+                and (data_centre == own or data_centre != summary.data_centre)
+            ),
+        )
+        return summary
+
+    def receive_summary_from_below(
+        self,
+        message: replicas.Summary,
+        host_id: str,
+        sent_at: datetime.timedelta,
+    ) -> None:
+        """Record a summary of another data centre, and pass it on.
+
+        A data centre that cannot reach the relay of the site sends its sums
+        to the standby, which sends them on to the relay.
+        """
+        summary = self.receive_summary(message, host_id, sent_at)
+        if summary is not None:
+            now = self._clock.monotonic()
+            self._send_up(_age(summary, now - sent_at), now, host_id)
+
+    def record_report(
+        self,
+        message: replicas.Report,
+        host_id: str,
+        data_centre: str,
+        sent_at: datetime.timedelta,
+    ) -> None:
+        """Record the report of a listener.
+
+        Parameters
+        ----------
+        message : Report
+            The message.
+        host_id, data_centre : str
+            Host that sent it.
+        sent_at : datetime.timedelta
+            Time at which it was sent.
+        """
+        try:
+            report = _REPORT_DECODER.decode(message.body)
+        except msgspec.MsgspecError as error:
+            self._refuse('report', host_id, str(error))
+            return
+        named = (report.host_id, report.data_centre)
+        if named != (host_id, data_centre):
+            self._refuse('report', host_id, f'it names {named}')
+        elif data_centre != self._own.data_centre:
+            self._refuse('report', host_id, f'it is from {data_centre!r}')
+        elif self._aggregator.record(report, sent_at):
+            self.messages.add(type='report', outcome='received')
+        else:
+            # A repeated report, or one of an earlier process.
+            self.messages.add(type='report', outcome='ignored')
+
+    def _send_summary(self, now: datetime.timedelta) -> None:
+        """Send the sum for all hosts of the data centre."""
+        summary = self._aggregator.summarize(now)
+        self._picture.record(summary, now)
+        own = self._own.data_centre
+        self._send_to_listeners(
+            load_reports.limit_summary(summary, self._pace.summary_upstreams),
+            lambda _, data_centre: data_centre == own,
+        )
+        sent_at = self._sent_abroad_at
+        early = self._pace.interval * _EARLY_SHARE
+        if sent_at is not None and (
+            now - sent_at < self._pace.foreign_interval - early
+        ):
+            return
+        self._sent_abroad_at = now
+        limited = load_reports.limit_summary(
+            summary, self._pace.foreign_upstreams
+        )
+        self._send_to_listeners(
+            limited, lambda _, data_centre: data_centre != own
+        )
+        self._send_up(limited, now)
+
+    def _send_report(self, now: datetime.timedelta) -> None:
+        """Send the report of this host, and of those that report to it."""
+        relays = self._peers.relays(now)
+        if relays and relays[0].data_centre == self._own.data_centre:
+            report = load_reports.limit_report(
+                self._aggregator.combine(now), self._pace.report_upstreams
+            )
+            message = replicas.Report(
+                msgspec.Raw(_ENCODER.encode(report)), now / _SECOND
+            )
+            self._count_sent('report', self._send_to_relay(relays[0], message))
+
+    def _send_up(
+        self,
+        summary: load_reports.LoadSummary,
+        now: datetime.timedelta,
+        source: str = '',
+    ) -> None:
+        """Send a summary to the relay of the site, unless it is this host."""
+        if self._peers.role(now) is replicas.Role.RELAY:
+            return
+        relays = self._peers.relays(now)
+        if (
+            relays
+            and relays[0].host_id != source
+            and relays[0].data_centre != self._own.data_centre
+        ):
+            self._count_sent(
+                'summary',
+                self._send_to_relay(relays[0], _encode_summary(summary, now)),
+            )
+
+    def _send_to_listeners(
+        self,
+        summary: load_reports.LoadSummary,
+        select: collections.abc.Callable[[str, str], bool],
+    ) -> None:
+        sent, missed = self._server.send_summary(
+            _encode_summary(summary, self._clock.monotonic()), select
+        )
+        if sent:
+            self.messages.add(sent, type='summary', outcome='sent')
+        if missed:
+            self.messages.add(missed, type='summary', outcome='left_out')
+
+    def _count_sent(self, kind: str, sent: bool) -> None:
+        outcome = 'sent' if sent else 'left_out'
+        self.messages.add(type=kind, outcome=outcome)
+
+    def _log_freshness(self, now: datetime.timedelta) -> None:
+        fresh = self._picture.is_fresh(now)
+        if fresh != self._was_fresh:
+            self._was_fresh = fresh
+            _LOG.info(
+                'the picture of the load is %s',
+                'fresh' if fresh else 'old; this host decides alone',
+                extra={'hosts': self._picture.hosts(now)},
+            )
+
+    def _refuse(self, kind: str, host_id: str, reason: str) -> None:
+        self.messages.add(type=kind, outcome='refused')
+        if self._rate_limiter.try_acquire(bounded.LogCategory.FAILURE):
+            _LOG.warning(
+                'load %s refused: %s', kind, reason, extra={'host': host_id}
+            )
+
+
+def _age(
+    summary: load_reports.LoadSummary, elapsed: datetime.timedelta
+) -> load_reports.LoadSummary:
+    """Return a summary that is older by the time it spent on its way here."""
+    return msgspec.structs.replace(
+        summary, age=summary.age + max(0.0, elapsed / _SECOND)
+    )
+
+
+def _encode_summary(
+    summary: load_reports.LoadSummary, now: datetime.timedelta
+) -> replicas.Summary:
+    return replicas.Summary(
+        msgspec.Raw(_ENCODER.encode(summary)), now / _SECOND
+    )
+
+
+@functools.singledispatch
+def _receive(
+    message: replicas.Report | replicas.Summary,
+    exchange: LoadExchange,
+    host_id: str,
+    data_centre: str,
+    sent_at: datetime.timedelta,
+) -> None:
+    raise TypeError(f'no handler for message {message!r}')
+
+
+@_receive.register
+def _receive_report(
+    message: replicas.Report,
+    exchange: LoadExchange,
+    host_id: str,
+    data_centre: str,
+    sent_at: datetime.timedelta,
+) -> None:
+    exchange.record_report(message, host_id, data_centre, sent_at)
+
+
+@_receive.register
+def _receive_summary(
+    message: replicas.Summary,
+    exchange: LoadExchange,
+    host_id: str,
+    data_centre: str,
+    sent_at: datetime.timedelta,
+) -> None:
+    exchange.receive_summary_from_below(message, host_id, sent_at)
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -13,6 +13,7 @@
 
 from acaciamoor import clock as clocks
 from acaciamoor import directory as directories
+from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor import sockets
 from acaciamoor.forwarder import core as cores
@@ -38,6 +39,8 @@
 _CONFIRMATION_WAIT = datetime.timedelta(seconds=1)
 # A host that has received no packet for this time is out of rotation.
 _QUIET_PERIOD = datetime.timedelta(milliseconds=500)
+# Two processes of a host have the same number once in billions of restarts.
+_INCARNATION_BITS = 32
 _QUIET_CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
@@ -114,8 +117,17 @@
         self._complete_since: datetime.timedelta | None = None
         self._on_reload = on_reload
         self._directory = directories.Directory(settings.directory)
+        own = settings.sync.own
+        self._load_picture = load_reports.LoadPicture(own.data_centre)
         self._core = cores.ForwarderCore(
-            settings.core, self._directory, random_source
+            settings.core,
+            self._directory,
+            random_source,
+            load_reports.LoadCollector(
+                own.host_id,
+                own.data_centre,
+                random_source.getrandbits(_INCARNATION_BITS),
+            ),
         )
         self._observer = observer.Observer(clock, self._get_sync_status)
         self._driver = drivers.Driver(
@@ -141,6 +153,8 @@
             ),
             clock,
             random_source,
+            self._core.load_collector,
+            self._load_picture,
         )
         self._driver.on_resume = self._synchronizer.close_connections
         self._stop_requested = asyncio.Event()
@@ -208,6 +222,10 @@
             -1 if age is None else age // _MS,
         )
 
+    def _read_picture_age(self) -> float:
+        age = self._load_picture.age(self._clock.monotonic())
+        return -1.0 if age is None else age.total_seconds()
+
     def _build_endpoints(self) -> list[endpoints.HttpEndpoint]:
         settings = self._settings
         served = [
@@ -278,6 +296,17 @@
                 'Changes that are kept for hosts that have fallen behind.',
                 lambda: self._synchronizer.kept_changes,
             ),
+            exposition.Gauge(
+                'acaciamoor_forwarder_load_picture_age_seconds',
+                'Age of the summary of the own data centre; below zero if '
+                'there was none.',
+                self._read_picture_age,
+            ),
+            exposition.Gauge(
+                'acaciamoor_forwarder_load_picture_hosts',
+                'Hosts in the summaries that count.',
+                lambda: self._load_picture.hosts(self._clock.monotonic()),
+            ),
             exposition.Gauge(
                 'acaciamoor_forwarder_resident_memory_bytes',
                 'Resident memory of the process; 0 if it cannot be read.',
@@ -287,7 +316,12 @@
         return endpoints.Response(
             http.HTTPStatus.OK,
             exposition.render(
-                (*self._observer.metrics, self._synchronizer.calls, *gauges)
+                (
+                    *self._observer.metrics,
+                    self._synchronizer.calls,
+                    *self._synchronizer.load_metrics,
+                    *gauges,
+                )
             ),
             exposition.CONTENT_TYPE,
         )
--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -12,6 +12,9 @@
 # Silence after which a relay is considered lost: four heartbeat intervals.
 READ_TIMEOUT = datetime.timedelta(milliseconds=1600)
 _READ_BYTES = 1 << 16
+# Unsent bytes above which a report is left out. A relay that reads has none;
+# one that does not must not make this host keep memory.
+_MAX_UNSENT_BYTES = 1 << 16
 
 
 class RelayLink:
@@ -56,6 +59,10 @@
         self._clock = clock
         self._codec = replicas.MessageCodec()
         self._delays = replicas.DelayEstimator()
+        self._writer: asyncio.StreamWriter | None = None
+        # Time that this host has waited for messages since the last one that
+        # was no summary of loads, in seconds.
+        self._waited_s = 0.0
 
     async def run(self) -> None:
         """Receive messages until the connection fails.
@@ -75,14 +82,28 @@
             )
         try:
             writer.write(self._codec.encode(self._build_hello()))
+            self._writer = writer
             while True:
                 message, delay = await self._read_message(reader)
                 self._on_message(self._peer, message, delay)
                 if self._count_listeners() != self._reported_listeners:
                     writer.write(self._codec.encode(self._build_hello()))
         finally:
+            self._writer = None
             writer.close()
 
+    def send(self, message: replicas.Report | replicas.Summary) -> bool:
+        """Send a message if the relay reads what it is sent."""
+        writer = self._writer
+        if (
+            writer is None
+            or writer.is_closing()
+            or writer.transport.get_write_buffer_size() > _MAX_UNSENT_BYTES
+        ):
+            return False
+        writer.write(self._codec.encode(message))
+        return True
+
     def _build_hello(self) -> replicas.Hello:
         self._reported_listeners = self._count_listeners()
         return replicas.Hello(
@@ -104,9 +125,13 @@
         chunks = []
         silence_s = READ_TIMEOUT.total_seconds()
         loop = asyncio.get_running_loop()
+        began_to_wait_at = loop.time()
+        # A relay that sends summaries, but no heartbeats, is lost.
+        remaining_s = max(0.0, silence_s - self._waited_s)
         try:
-            async with asyncio.timeout(silence_s) as limit:
+            async with asyncio.timeout(remaining_s) as limit:
                 header = await reader.readexactly(self._codec.header_bytes)
+                self._waited_s += loop.time() - began_to_wait_at
                 began_at = self._clock.monotonic()
                 length = self._codec.decode_length(header)
                 while received < length:
@@ -131,7 +156,11 @@
         message = self._codec.decode(b''.join(chunks))
         received_at = self._clock.monotonic()
         delay = received_at - began_at
-        if isinstance(message, replicas.Beat | replicas.Update):
+        if not isinstance(message, replicas.Summary):
+            self._waited_s = 0.0
+        if isinstance(
+            message, replicas.Beat | replicas.Update | replicas.Summary
+        ):
             sent_at = datetime.timedelta(seconds=message.sent_at)
             delay = max(delay, self._delays.record(sent_at, received_at))
         return message, delay
--- a/acaciamoor/forwarder/shell/relay_links.py
+++ b/acaciamoor/forwarder/shell/relay_links.py
@@ -63,6 +63,16 @@
         self._started_at = clock.monotonic()
         self._failures = 0
         self._tasks_by_address: dict[model.Address, asyncio.Task[None]] = {}
+        self._links_by_address: dict[model.Address, relay_link.RelayLink] = {}
+
+    def send(
+        self,
+        peer: replicas.Peer,
+        message: replicas.Report | replicas.Summary,
+    ) -> bool:
+        """Send a message to a relay; return whether its connection took it."""
+        link = self._links_by_address.get(peer.address)
+        return link is not None and link.send(message)
 
     def close(self) -> None:
         """Close all connections."""
@@ -147,6 +157,7 @@
             self._count_listeners,
             self._clock,
         )
+        self._links_by_address[peer.address] = link
         try:
             await link.run()
         except (OSError, EOFError, replicas.MessageError) as error:
@@ -155,6 +166,8 @@
             self._peers.mark_unreachable(peer.host_id, self._clock.monotonic())
             self._on_lost(peer)
         finally:
+            if self._links_by_address.get(peer.address) is link:
+                del self._links_by_address[peer.address]
             tasks = self._tasks_by_address
             if tasks.get(peer.address) is asyncio.current_task():
                 del tasks[peer.address]
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -16,16 +16,35 @@
 _MAX_UNSENT_BYTES = 4 << 20
 # A Hello message holds a host identifier and a few versions.
 _MAX_HELLO_BYTES = 4096
+# A report of 4,096 upstreams with long names takes less.
+_MAX_REPORT_BYTES = 1 << 20
+# Unsent bytes above which a listener is sent no summary of loads. It delays
+# changes of the collections by 50 ms at most over a link of 10 Mbit/s.
+_MAX_UNSENT_SUMMARY_BYTES = 1 << 16
+# Time after its last report for which a listener is sent summaries: five of
+# the longest intervals. A listener reports to the first of its relays only,
+# and needs the summaries once.
+_REPORTER_PERIOD = datetime.timedelta(seconds=2)
 # Minimum interval between two heartbeats that pass on confirmations.
 _MIN_HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
+# Called with the host and data centre of a listener, a message from it, and
+# for how long that was on the way.
+OnReport = collections.abc.Callable[
+    [str, str, replicas.Report | replicas.Summary, datetime.timedelta], None
+]
+
+
 class _Listener(msgspec.Struct):
     """Connected host; `below` is the number of its own listeners."""
 
     writer: asyncio.StreamWriter
     data_centre: str
     below: int
+    delays: replicas.DelayEstimator
+    # Time of its last report; None before the first one.
+    reported_at: datetime.timedelta | None = None
 
 
 class RelayServer:
@@ -62,6 +81,7 @@
         # Number of hosts of the data centre; see `count_local_hosts`.
         self.local_hosts = 1
         self._server: asyncio.Server | None = None
+        self.on_report: OnReport | None = None
 
     @property
     def listeners(self) -> int:
@@ -174,6 +194,48 @@
             )
         )
 
+    def send_summary(
+        self,
+        message: replicas.Summary,
+        select: collections.abc.Callable[[str, str], bool],
+    ) -> tuple[int, int]:
+        """Send a summary to listeners that report to this host.
+
+        Listeners that do not read miss it, and stay connected.
+
+        Parameters
+        ----------
+        message : Summary
+            The summary.
+        select : callable
+            Returns whether a listener gets it, from its host and data centre.
+
+        Returns
+        -------
+        tuple
+            Number of listeners that it was sent to, and that missed it.
+        """
+        now = self._clock.monotonic()
+        sent = missed = 0
+        frame = b''
+        for host, listener in self._listeners_by_host.items():
+            writer = listener.writer
+            if (
+                listener.reported_at is None
+                or now - listener.reported_at > _REPORTER_PERIOD
+                or writer.is_closing()
+                or not select(host, listener.data_centre)
+            ):
+                continue
+            unsent = writer.transport.get_write_buffer_size()
+            if unsent > _MAX_UNSENT_SUMMARY_BYTES:
+                missed += 1
+                continue
+            frame = frame or self._codec.encode(message)
+            writer.write(frame)
+            sent += 1
+        return sent, missed
+
     def _send_all(self, message: replicas.Message) -> None:
         frame = self._codec.encode(message)
         for host, listener in list(self._listeners_by_host.items()):
@@ -207,7 +269,11 @@
             host = hello.host_id
             self._register_listener(hello, writer)
             while True:
-                self._update_listener(await self._read_hello(reader), writer)
+                message = await self._read_message(reader, _MAX_REPORT_BYTES)
+                if isinstance(message, replicas.Report | replicas.Summary):
+                    self._handle_report(host, message, writer)
+                else:
+                    self._update_listener(_check_hello(message), writer)
         except (OSError, EOFError, replicas.MessageError) as error:
             _LOG.info('listener %s disconnected: %r', host or 'unknown', error)
         except asyncio.CancelledError:
@@ -221,24 +287,36 @@
     async def _read_hello(
         self, reader: asyncio.StreamReader
     ) -> replicas.Hello:
+        return _check_hello(await self._read_message(reader, _MAX_HELLO_BYTES))
+
+    async def _read_message(
+        self, reader: asyncio.StreamReader, max_bytes: int
+    ) -> replicas.Message:
         length = self._codec.decode_length(
             await reader.readexactly(self._codec.header_bytes)
         )
-        if length > _MAX_HELLO_BYTES:
-            raise replicas.MessageError(
-                f'Hello message of {length} bytes is too long'
-            )
-        message = self._codec.decode(await reader.readexactly(length))
-        if not isinstance(message, replicas.Hello):
-            raise replicas.MessageError(
-                f'{type(message).__name__} received before Hello'
-            )
-        if message.protocol != replicas.PROTOCOL:
+        if length > max_bytes:
             raise replicas.MessageError(
-                f'host {message.host_id!r} uses protocol {message.protocol} '
-                f'instead of {replicas.PROTOCOL}'
+                f'message of {length} bytes from a listener is too long'
             )
-        return message
+        return self._codec.decode(await reader.readexactly(length))
+
+    def _handle_report(
+        self,
+        host: str,
+        message: replicas.Report | replicas.Summary,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        listener = self._listeners_by_host.get(host)
+        if listener is None or listener.writer is not writer:
+            return
+        now = self._clock.monotonic()
+        listener.reported_at = now
+        delay = listener.delays.record(
+            datetime.timedelta(seconds=message.sent_at), now
+        )
+        if self.on_report is not None:
+            self.on_report(host, listener.data_centre, message, delay)
 
     def _register_listener(
         self, hello: replicas.Hello, writer: asyncio.StreamWriter
@@ -255,6 +333,7 @@
             writer,
             '' if hello.peer is None else hello.peer.data_centre,
             hello.listeners,
+            replicas.DelayEstimator(),
         )
 
     def _update_listener(
@@ -286,6 +365,19 @@
             yield replicas.Beat({}, sent_at=now.total_seconds())
 
 
+def _check_hello(message: replicas.Message) -> replicas.Hello:
+    if not isinstance(message, replicas.Hello):
+        raise replicas.MessageError(
+            f'{type(message).__name__} received instead of Hello'
+        )
+    if message.protocol != replicas.PROTOCOL:
+        raise replicas.MessageError(
+            f'host {message.host_id!r} uses protocol {message.protocol} '
+            f'instead of {replicas.PROTOCOL}'
+        )
+    return message
+
+
 def _encode_peers(
     peers: collections.abc.Iterable[replicas.Peer],
 ) -> replicas.Peers:
--- a/acaciamoor/forwarder/shell/store_synchronizer.py
+++ b/acaciamoor/forwarder/shell/store_synchronizer.py
@@ -8,6 +8,7 @@
 import random
 
 from acaciamoor import clock as clocks
+from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor import replica as replicas
 from acaciamoor import supervision
@@ -15,6 +16,7 @@
 from acaciamoor.forwarder.shell import directory_updater as updaters
 from acaciamoor.forwarder.shell import discovery
 from acaciamoor.forwarder.shell import limits
+from acaciamoor.forwarder.shell import load_exchange
 from acaciamoor.forwarder.shell import relay_links
 from acaciamoor.forwarder.shell import relay_server
 from acaciamoor.forwarder.shell import sources
@@ -42,6 +44,10 @@
         Source of time.
     random_source : random.Random
         Source of jitter.
+    load_collector : LoadCollector or None
+        Counts the load that this host reports; None if it does not report.
+    load_picture : LoadPicture or None
+        Receives the load of all hosts; None if this host keeps none.
     """
 
     def __init__(
@@ -52,6 +58,8 @@
         updater: updaters.DirectoryUpdater,
         clock: clocks.Clock,
         random_source: random.Random,
+        load_collector: load_reports.LoadCollector | None = None,
+        load_picture: load_reports.LoadPicture | None = None,
     ) -> None:
         self._settings = settings
         self._updater = updater
@@ -102,6 +110,18 @@
             clock,
             random_source.randrange(1 << 16),
         )
+        self._load_exchange: load_exchange.LoadExchange | None = None
+        if load_collector is not None and load_picture is not None:
+            self._load_exchange = load_exchange.LoadExchange(
+                settings.own,
+                load_collector,
+                load_picture,
+                self._peers,
+                self._server,
+                self._links.send,
+                clock,
+            )
+            self._server.on_report = self._load_exchange.receive_from_listener
         # Set if another host was asked for data and has none.
         self._seeds_failed = asyncio.Event()
         # Number of hosts of the data centre, as others of it say.
@@ -142,6 +162,8 @@
         yield 'reading the host list', self._host_list_reader.run
         yield 'sending heartbeats', self._send_heartbeats
         yield 'selecting sources', self._update_sources
+        if self._load_exchange is not None:
+            yield 'exchanging load reports', self._load_exchange.run
 
     def _get_seed_wait(self) -> datetime.timedelta:
         settings = self._settings
@@ -171,6 +193,13 @@
         age = self.age()
         return age is not None and age <= self._settings.change_bound
 
+    @property
+    def load_metrics(self) -> tuple[exposition.Metric, ...]:
+        """Metrics of the load reports; empty if this host sends none."""
+        if self._load_exchange is None:
+            return ()
+        return (self._load_exchange.messages,)
+
     @property
     def listeners(self) -> int:
         """Number of hosts that are connected to this one as listeners."""
@@ -304,6 +333,14 @@
     ) -> None:
         # Ages in the message are those of the time at which it was sent.
         sent_at = self._clock.monotonic() - delay
+        if isinstance(message, replicas.Summary):
+            # It says nothing of the collections, nor that the relay follows
+            # them.
+            if self._load_exchange is not None:
+                self._load_exchange.receive_summary(
+                    message, peer.host_id, sent_at
+                )
+            return
         self._peers.mark_reachable(peer.host_id)
         _handle_message(message, self, peer, sent_at)
 
--- /dev/null
+++ b/acaciamoor/load_reports/pace.py
@@ -0,0 +1,127 @@
+"""How often hosts report, and how much a message holds."""
+
+import datetime
+
+import msgspec
+
+from acaciamoor.load_reports import collector as collectors
+from acaciamoor.load_reports import report as reports
+
+# Hosts of a data centre from which on reports are used. With fewer, a host
+# sees enough of the load itself; see docs/parts.md, part 3.
+MIN_HOSTS = 8
+# Interval between the reports of a host; see docs/parts.md, part 3.
+MIN_INTERVAL = datetime.timedelta(milliseconds=200)
+# A report waits for up to one interval at a branch, at the first host and at
+# its receiver. Three of these intervals stay below the 1.5 s after which a
+# summary counts for nothing, and two below the 1 s of a report.
+MAX_INTERVAL = datetime.timedelta(milliseconds=400)
+# Hosts up to which the shortest interval is used: those of the present site.
+_HOSTS_AT_MIN_INTERVAL = 75
+# Hosts of a data centre above which the size of messages is limited. Below
+# it, sites are too small for the budget of 9 KB/s at 11,000 hosts.
+MAX_UNLIMITED_HOSTS = 128
+# Bytes a second for a host above that: the budget of 9 KB/s less about 3 KB/s
+# for heartbeats and changes. Its own reports take a part, and the summary of
+# its data centre and those of all others take the rest.
+REPORT_BYTES_PER_S = 1500
+SUMMARY_BYTES_PER_S = 3000
+FOREIGN_BYTES_PER_S = 1500
+# Mean encoded size of an upstream, and that of all other fields of a message
+# with a few services, in bytes; measured by tests/test_sizes.py.
+UPSTREAM_BYTES = 28
+FIXED_BYTES = 250
+# Interval between two summaries of another data centre that are passed on,
+# for each data centre beyond two; and its maximum, which leaves 0.7 s of the
+# 1.5 s for the way.
+_FOREIGN_INTERVAL_STEP = datetime.timedelta(milliseconds=50)
+_MAX_FOREIGN_INTERVAL = datetime.timedelta(milliseconds=800)
+
+
+class Pace(msgspec.Struct, frozen=True):
+    """Interval of the reports, and upstreams in a message of each type.
+
+    Parameters
+    ----------
+    interval : datetime.timedelta
+        Interval between reports, and between summaries.
+    foreign_interval : datetime.timedelta
+        Minimum interval between summaries of another data centre.
+    report_upstreams : int
+        Upstreams in the report of a host or a branch.
+    summary_upstreams : int
+        Upstreams in the summary for the own data centre.
+    foreign_upstreams : int
+        Upstreams in the summary for other data centres.
+
+    Examples
+    --------
+    >>> Pace.of(9, 1).interval / datetime.timedelta(milliseconds=1)
+    200.0
+    >>> Pace.of(367, 30).interval / datetime.timedelta(milliseconds=1)
+    400.0
+    """
+
+    interval: datetime.timedelta
+    foreign_interval: datetime.timedelta
+    report_upstreams: int = reports.MAX_UPSTREAMS
+    summary_upstreams: int = reports.MAX_UPSTREAMS
+    foreign_upstreams: int = reports.MAX_UPSTREAMS
+
+    @classmethod
+    def of(cls, hosts: int, data_centres: int) -> 'Pace':
+        """Return the pace in a data centre.
+
+        Parameters
+        ----------
+        hosts : int
+            Hosts of the data centre.
+        data_centres : int
+            Data centres whose summaries are known, with the own one.
+        """
+        interval = MIN_INTERVAL * hosts / _HOSTS_AT_MIN_INTERVAL
+        interval = min(max(interval, MIN_INTERVAL), MAX_INTERVAL)
+        foreign_interval = min(
+            interval + _FOREIGN_INTERVAL_STEP * max(0, data_centres - 2),
+            _MAX_FOREIGN_INTERVAL,
+        )
+        if hosts <= MAX_UNLIMITED_HOSTS:
+            return cls(interval, foreign_interval)
+        foreign_bytes_per_s = FOREIGN_BYTES_PER_S / max(1, data_centres - 1)
+        return cls(
+            interval,
+            foreign_interval,
+            _count_upstreams(REPORT_BYTES_PER_S, interval),
+            _count_upstreams(SUMMARY_BYTES_PER_S, interval),
+            _count_upstreams(foreign_bytes_per_s, foreign_interval),
+        )
+
+
+def _count_upstreams(bytes_per_s: float, interval: datetime.timedelta) -> int:
+    size = bytes_per_s * interval.total_seconds()
+    count = int((size - FIXED_BYTES) / UPSTREAM_BYTES)
+    return min(max(count, 0), reports.MAX_UPSTREAMS)
+
+
+def limit_report(
+    report: reports.HostReport, upstreams: int
+) -> reports.HostReport:
+    """Return a report of the busiest upstreams."""
+    if len(report.upstreams) <= upstreams:
+        return report
+    return msgspec.structs.replace(
+        report,
+        upstreams=collectors.select_busiest(report.upstreams, upstreams),
+    )
+
+
+def limit_summary(
+    summary: reports.LoadSummary, upstreams: int
+) -> reports.LoadSummary:
+    """Return a summary of the busiest upstreams."""
+    if len(summary.upstreams) <= upstreams:
+        return summary
+    return msgspec.structs.replace(
+        summary,
+        upstreams=collectors.select_busiest(summary.upstreams, upstreams),
+    )
--- a/acaciamoor/load_reports/report.py
+++ b/acaciamoor/load_reports/report.py
@@ -114,6 +114,11 @@
         Load by upstream, without idle ones.
     demands : list of ServiceDemand
         New flows by service and priority.
+    hosts : int
+        Number of hosts whose reports it contains; more than one if a branch
+        has summed the reports of its listeners.
+    age : float
+        Time since the reports were taken, in seconds, when it was sent.
     """
 
     host_id: str
@@ -123,9 +128,11 @@
     interval: float
     upstreams: list[UpstreamLoad] = []
     demands: list[ServiceDemand] = []
+    hosts: int = 1
+    age: float = 0.0
 
     def __post_init__(self) -> None:
-        _check_numbers(self.interval)
+        _check_numbers(self.interval, self.hosts, self.age)
         if len(self.upstreams) > MAX_UPSTREAMS:
             raise ValueError(
                 f'a report of {len(self.upstreams)} upstreams is too large'
--- a/acaciamoor/openings/flow_tracker.py
+++ b/acaciamoor/openings/flow_tracker.py
@@ -8,6 +8,7 @@
 import collections
 import datetime
 
+from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor.openings import load as loads
 from acaciamoor.openings import pending
@@ -56,6 +57,8 @@
     limit : int
         Maximum number of tracked flows; the one that has been idle for
         longest is evicted first.
+    load_collector : LoadCollector or None
+        Counts flows and requests for the reports of this host.
     """
 
     def __init__(
@@ -63,10 +66,14 @@
         load_tracker: loads.LoadTracker,
         demand_tracker: loads.DemandTracker,
         limit: int = 16384,
+        load_collector: load_reports.LoadCollector | None = None,
     ) -> None:
         self._load_tracker = load_tracker
         self._demand_tracker = demand_tracker
         self._limit = limit
+        self._collector = load_collector or load_reports.LoadCollector(
+            '', '', 0
+        )
         self._flows_by_key: collections.OrderedDict[
             pending.FlowKey, TrackedFlow
         ] = collections.OrderedDict()
@@ -106,28 +113,53 @@
             flow = self._add(key, upstream_id, service, acknowledged, now)
         else:
             self._flows_by_key.move_to_end(key)
-        answered = acknowledged != flow.acknowledged
+        before = flow.acknowledged
+        answered = acknowledged != before
         flow.acknowledged = acknowledged
         flow.last_seen_at = now
         if flow.busy and answered:
             flow.busy = False
+            self._finish(flow, acknowledged, before, now)
             self._load_tracker.end_request(upstream_id, now)
             self._demand_tracker.add_answered(
                 flow.service, now - flow.busy_since
             )
         if length and _advance(flow, sequence + length) and not flow.busy:
             flow.busy, flow.busy_since = True, now
+            self._collector.begin_request(upstream_id)
             self._load_tracker.begin_request(upstream_id, now)
             self._demand_tracker.begin_request(flow.service, now)
         return flow
 
     def record_end(
-        self, key: pending.FlowKey, now: datetime.timedelta
+        self,
+        key: pending.FlowKey,
+        now: datetime.timedelta,
+        acknowledged: int | None = None,
     ) -> None:
-        """Remove a flow and end its request, if one is in progress."""
+        """Remove a flow and end its request, if one is in progress.
+
+        Parameters
+        ----------
+        key : FlowKey
+            The flow.
+        now : datetime.timedelta
+            Current time.
+        acknowledged : int or None
+            Acknowledgement number of the packet that ends the flow. An
+            upstream that rejects a request may close the flow at once, so
+            that no other packet acknowledges the response.
+        """
         flow = self._flows_by_key.pop(key, None)
-        if flow is not None and flow.busy:
-            self._load_tracker.end_request(flow.upstream_id, now)
+        if flow is None:
+            return
+        self._collector.remove_flow(flow.upstream_id)
+        if not flow.busy:
+            return
+        self._load_tracker.end_request(flow.upstream_id, now)
+        if acknowledged is None:
+            acknowledged = flow.acknowledged
+        self._finish(flow, acknowledged, flow.acknowledged, now)
 
     def expire(
         self, now: datetime.timedelta, idle: datetime.timedelta
@@ -155,8 +187,26 @@
             self.record_end(next(iter(self._flows_by_key)), now)
         flow = TrackedFlow(upstream_id, service, acknowledged)
         self._flows_by_key[key] = flow
+        self._collector.add_flow(upstream_id)
         return flow
 
+    def _finish(
+        self,
+        flow: TrackedFlow,
+        acknowledged: int,
+        before: int,
+        now: datetime.timedelta,
+    ) -> None:
+        """Report the end of a request, answered if there is a response."""
+        size = (acknowledged - before) & _SEQUENCE_MASK
+        if 0 < size < _HALF_SEQUENCE:
+            self._collector.finish_request(
+                flow.upstream_id, flow.service, now - flow.busy_since, size
+            )
+        else:
+            # Also a packet that was overtaken on its way.
+            self._collector.abandon_request(flow.upstream_id)
+
 
 def _advance(flow: TrackedFlow, end: int) -> bool:
     """Advance `sent_to` to the sequence number `end` of a packet's data.
--- a/acaciamoor/replica/__init__.py
+++ b/acaciamoor/replica/__init__.py
@@ -16,6 +16,8 @@
 from acaciamoor.replica.messages import PeerState
 from acaciamoor.replica.messages import Progress
 from acaciamoor.replica.messages import PROTOCOL
+from acaciamoor.replica.messages import Report
+from acaciamoor.replica.messages import Summary
 from acaciamoor.replica.messages import Update
 from acaciamoor.replica.peers import Peer
 from acaciamoor.replica.peers import PeerList
@@ -45,7 +47,9 @@
     'Peers',
     'Progress',
     'Replica',
+    'Report',
     'Role',
+    'Summary',
     'Update',
     'select_call_mode',
 ]
--- a/acaciamoor/replica/messages.py
+++ b/acaciamoor/replica/messages.py
@@ -21,7 +21,7 @@
 _LENGTH = struct.Struct('!I')
 # Version of the messages and of what their fields mean. Hosts of another one
 # call the store themselves.
-PROTOCOL = 2
+PROTOCOL = 3
 # Many times the present size of a whole collection.
 MAX_MESSAGE_BYTES = 16 << 20
 # Messages above this size are compressed, to about an eighth. Hosts that start
@@ -225,13 +225,39 @@
         )
 
 
+class Report(msgspec.Struct, tag=True, frozen=True):
+    """Load that a listener reports, or the sum of its listeners' reports.
+
+    The body is not decoded with the message: one that is malformed is refused
+    without the loss of the connection, which carries the collections.
+    """
+
+    body: msgspec.Raw
+    # By the monotonic clock of the sender, in seconds.
+    sent_at: float
+
+    def __post_init__(self) -> None:
+        _check_clock(self.sent_at)
+
+
+class Summary(msgspec.Struct, tag=True, frozen=True):
+    """Sum of the reports of a data centre; see `Report` on the body."""
+
+    body: msgspec.Raw
+    # By the monotonic clock of the sender, in seconds.
+    sent_at: float
+
+    def __post_init__(self) -> None:
+        _check_clock(self.sent_at)
+
+
 class Compressed(msgspec.Struct, tag=True, frozen=True):
     """Another message, compressed."""
 
     body: bytes
 
 
-Message = Hello | Beat | Peers | Update
+Message = Hello | Beat | Peers | Update | Report | Summary
 
 
 class MessageCodec:
--- a/acaciamoor/tests/test_core_imports.py
+++ b/acaciamoor/tests/test_core_imports.py
@@ -14,6 +14,7 @@
     'findings',
     'flows',
     'hashing',
+    'load_reports',
     'membership',
     'model',
     'openings',
@@ -52,6 +53,7 @@
 DATA_PATH_PACKAGES = (
     'directory',
     'forwarder',
+    'load_reports',
     'openings',
     'replica',
     'tokens',
