--- a/acaciamoor/forwarder/shell/load_exchange.py
+++ b/acaciamoor/forwarder/shell/load_exchange.py
@@ -244,15 +244,24 @@
 
     def _send_report(self, now: datetime.timedelta) -> None:
         """Send the report of this host, and of those that report to it."""
-        relays = self._peers.relays(now)
-        if relays and relays[0].data_centre == self._own.data_centre:
+        # The second host of a data centre also listens to the relay of the
+        # site. Only sums cross between data centres.
+        relay = next(
+            (
+                peer
+                for peer in self._peers.relays(now)
+                if peer.data_centre == self._own.data_centre
+            ),
+            None,
+        )
+        if relay is not None:
             report = load_reports.limit_report(
                 self._aggregator.combine(now), self._pace.report_upstreams
             )
             message = replicas.Report(
                 msgspec.Raw(_ENCODER.encode(report)), now / _SECOND
             )
-            self._count_sent('report', self._send_to_relay(relays[0], message))
+            self._count_sent('report', self._send_to_relay(relay, message))
 
     def _send_up(
         self,
--- a/acaciamoor/forwarder/tests/test_data_centre.py
+++ b/acaciamoor/forwarder/tests/test_data_centre.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from acaciamoor import clock
+from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor import replica
 from acaciamoor.demo import site
@@ -34,6 +35,9 @@
         self.store = simulated_store.SimulatedStore()
         self.updaters_by_id = {}
         self.tasks_by_id = {}
+        self.collectors_by_id = {}
+        self.pictures_by_id = {}
+        self.synchronizers_by_id = {}
 
     def add_hosts(self, count, link_mbps=0.0, data_centre='kgn-a'):
         """Add hosts to a data centre."""
@@ -68,6 +72,13 @@
         )
         updater = test_store_synchronizer.RecordingUpdater()
         self.updaters_by_id[own.host_id] = updater
+        random_source = random.Random(own.host_id)
+        collector = load_reports.LoadCollector(
+            own.host_id, own.data_centre, random_source.getrandbits(32)
+        )
+        self.collectors_by_id[own.host_id] = collector
+        picture = load_reports.LoadPicture(own.data_centre)
+        self.pictures_by_id[own.host_id] = picture
         synchronizer = store_synchronizer.StoreSynchronizer(
             settings,
             simulated_store.StoreSchema(self.store),
@@ -85,8 +96,11 @@
             ),
             updater,
             clock.SystemClock(),
-            random.Random(own.host_id),
+            random_source,
+            collector,
+            picture,
         )
+        self.synchronizers_by_id[own.host_id] = synchronizer
         task = asyncio.create_task(synchronizer.run())
         self.tasks_by_id[own.host_id] = task
         self.addAsyncCleanup(self.stop, task)
--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -31,7 +31,9 @@
         cls.addClassCleanup(asyncio.set_event_loop_policy, previous)
 
 
-class RelayTest(UvloopTestCase):
+class RelayTestCase(UvloopTestCase):
+    """Base class of tests with a relay and its listeners."""
+
     async def asyncSetUp(self):
         self.source = builders.new_replica(5, builders.put('a', 3, x=1))
         self.address = site.find_free_address()
@@ -60,6 +62,8 @@
         )
         return messages, asyncio.create_task(link.run())
 
+
+class RelayTest(RelayTestCase):
     async def test_listener_gets_a_snapshot_and_then_changes(self):
         """Guards against a listener without the earlier objects."""
         target = replica.Replica(KIND)
