--- a/acaciamoor/load_reports/picture.py
+++ b/acaciamoor/load_reports/picture.py
@@ -9,9 +9,9 @@
 
 # Evidence older than this counts for nothing; see docs/parts.md, part 3.
 MAX_AGE = datetime.timedelta(milliseconds=1500)
-# Age from which on the sum of another host replaces one of more hosts: three
-# reports that did not arrive.
-REPLACEMENT_AGE = datetime.timedelta(milliseconds=600)
+# Silence of a sender after which the sum of another host replaces one of more
+# hosts. Sums arrive every 800 ms at the latest; see `Pace`.
+REPLACEMENT_SILENCE = datetime.timedelta(seconds=1)
 # Data centres of which summaries are kept, many times those of a site.
 MAX_DATA_CENTRES = 64
 # Earlier incarnations that are remembered of the senders of a data centre.
@@ -36,16 +36,23 @@
 class _Held:
     """Summary of a data centre, and when its reports were taken."""
 
-    __slots__ = ('loads_by_id', 'retired', 'summary', 'taken_at')
+    __slots__ = (
+        'loads_by_id',
+        'received_at',
+        'retired',
+        'summary',
+        'taken_at',
+    )
 
     def __init__(
         self,
         summary: reports.LoadSummary,
-        taken_at: datetime.timedelta,
+        received_at: datetime.timedelta,
         retired: tuple[int, ...],
     ) -> None:
         self.summary = summary
-        self.taken_at = taken_at
+        self.received_at = received_at
+        self.taken_at = received_at - datetime.timedelta(seconds=summary.age)
         self.retired = retired
         # Built at the first look-up; most hosts look up few upstreams.
         self.loads_by_id: dict[str, reports.UpstreamLoad] | None = None
@@ -120,8 +127,7 @@
         received_at : datetime.timedelta
             Time to which the age in the summary refers.
         """
-        taken_at = received_at - datetime.timedelta(seconds=summary.age)
-        if received_at - taken_at >= MAX_AGE:
+        if datetime.timedelta(seconds=summary.age) >= MAX_AGE:
             return False
         held = self._held_by_data_centre.get(summary.data_centre)
         retired: tuple[int, ...] = ()
@@ -136,7 +142,7 @@
             if len(self._held_by_data_centre) >= MAX_DATA_CENTRES:
                 return False
         self._held_by_data_centre[summary.data_centre] = _Held(
-            summary, taken_at, retired
+            summary, received_at, retired
         )
         self._revision += 1
         return True
@@ -230,7 +236,9 @@
             or summary.serial > before.serial
         )
     return (
-        summary.hosts > before.hosts or now - held.taken_at >= REPLACEMENT_AGE
+        summary.hosts > before.hosts
+        or now - held.received_at >= REPLACEMENT_SILENCE
+        or not held.is_fresh(now)
     )
 
 
--- a/acaciamoor/load_reports/rejections.py
+++ b/acaciamoor/load_reports/rejections.py
@@ -57,10 +57,11 @@
         """
         log_bytes = math.log(max(size, 1))
         log_seconds = math.log(max(seconds, _MIN_DURATION_S))
+        short = log_bytes <= self._log_bytes + math.log(SHORT_SHARE)
         if (
-            self._samples >= MIN_SAMPLES
+            short
+            and self._samples >= MIN_SAMPLES
             and size <= MAX_REJECTION_BYTES
-            and log_bytes <= self._log_bytes + math.log(SHORT_SHARE)
             and log_seconds <= self._log_seconds + math.log(EARLY_SHARE)
         ):
             return True
@@ -69,7 +70,9 @@
         difference = log_bytes - self._log_bytes
         weight = _LARGER_WEIGHT if difference > 0 else _SMALLER_WEIGHT
         self._log_bytes += max(first, weight) * difference
-        self._log_seconds += max(first, _DURATION_WEIGHT) * (
-            log_seconds - self._log_seconds
-        )
+        if not short or self._samples == 1:
+            # Short ones may be rejections that came before the rule applied.
+            self._log_seconds += max(first, _DURATION_WEIGHT) * (
+                log_seconds - self._log_seconds
+            )
         return False
--- /dev/null
+++ b/acaciamoor/load_reports/tests/test_reports.py
@@ -0,0 +1,228 @@
+"""Reports, their sums, and the picture of the load."""
+
+import unittest
+
+import msgspec
+
+from acaciamoor import load_reports
+from acaciamoor.load_reports import report as reports
+from acaciamoor.load_reports.tests import builders
+
+MS = builders.MS
+SECOND = builders.SECOND
+load = builders.load
+report = builders.report
+summary = builders.summary
+
+
+class HostReportTest(unittest.TestCase):
+    def test_values_out_of_range_are_refused(self):
+        """Guards against a sum that a single faulty host makes useless."""
+        decoder = msgspec.msgpack.Decoder(load_reports.HostReport)
+        for field, value in (
+            ('in_progress', -1),
+            ('busy_seconds', float('nan')),
+            ('busy_seconds', float('inf')),
+            ('openings', (1 << 31) + 1),
+        ):
+            body = msgspec.to_builtins(report('h-1', 1, load()))
+            index = reports.UpstreamLoad.__struct_fields__.index(field)
+            numbers = list(body['upstreams'][0])
+            numbers[index] = value
+            body['upstreams'] = [numbers]
+            encoded = msgspec.msgpack.encode(body)
+            with (
+                self.subTest(field=field, value=value),
+                self.assertRaises(msgspec.ValidationError),
+            ):
+                decoder.decode(encoded)
+
+    def test_report_of_too_many_upstreams_is_refused(self):
+        """Guards against reports that take the memory of their receiver."""
+        with self.assertRaises(ValueError):
+            report('h-1', 1, *[load()] * (reports.MAX_UPSTREAMS + 1))
+
+
+class AggregatorTest(unittest.TestCase):
+    def setUp(self):
+        self.aggregator = load_reports.ReportAggregator('h-0', 'kgn-a', 5)
+
+    def in_progress(self, now):
+        """Return the requests in the sum, and its hosts."""
+        total = self.aggregator.summarize(now)
+        return sum(item.in_progress for item in total.upstreams), total.hosts
+
+    def record(self, *args, now=0 * SECOND, **fields):
+        """Record a report; return whether it counts."""
+        return self.aggregator.record(report(*args, **fields), now)
+
+    def test_report_counts_once(self):
+        """Guards against a repeated message that counts twice."""
+        self.assertTrue(self.record('h-1', 2, load(in_progress=1)))
+        self.assertFalse(self.record('h-1', 2, load(in_progress=9)))
+        self.assertFalse(self.record('h-1', 1, load(in_progress=9)))
+        self.assertEqual((1, 1), self.in_progress(0 * SECOND))
+
+    def test_report_of_an_older_incarnation_replaces_nothing(self):
+        """Guards against late messages of a process that has ended."""
+        self.record('h-1', 90, load(in_progress=1), incarnation=1)
+        restarted = load(in_progress=2)
+        self.assertTrue(self.record('h-1', 1, restarted, incarnation=2))
+        late = load(in_progress=9)
+        self.assertFalse(self.record('h-1', 91, late, incarnation=1))
+        self.assertEqual((2, 1), self.in_progress(0 * SECOND))
+
+    def test_report_older_than_a_second_does_not_count(self):
+        """Guards against the load of hosts that are gone."""
+        self.record('h-1', 1, load(in_progress=1))
+        self.record('h-2', 1, load(in_progress=2), now=SECOND / 2)
+        self.assertEqual((3, 2), self.in_progress(SECOND))
+        self.assertEqual((2, 1), self.in_progress(SECOND + MS))
+
+    def test_report_of_another_data_centre_does_not_count(self):
+        """Guards against hosts that count in two sums."""
+        self.assertFalse(self.record('h-1', 1, data_centre='kgn-b'))
+
+    def test_sum_of_a_branch_counts_with_its_hosts_and_age(self):
+        """Guards against sums of old reports that look new at each hop."""
+        branch = load_reports.ReportAggregator('h-9', 'kgn-a', 3)
+        for number in range(16):
+            host = report(f'h-{number}', 1, load(in_progress=1))
+            branch.record(host, 0 * SECOND)
+        self.aggregator.record(branch.combine(SECOND / 2), SECOND / 2)
+        total = self.aggregator.summarize(0.75 * SECOND)
+        self.assertEqual((16, 0.75), (total.hosts, total.age))
+        self.assertEqual((0, 0), self.in_progress(SECOND + MS))
+
+
+class PictureTest(unittest.TestCase):
+    def setUp(self):
+        self.picture = load_reports.LoadPicture('kgn-a')
+
+    def record(self, *args, now=0 * SECOND, **fields):
+        """Record a summary; return whether it replaced the one before."""
+        return self.picture.record(summary(*args, **fields), now)
+
+    def in_progress(self, now=0 * SECOND):
+        """Return the requests at desk-1; None if they are unknown."""
+        found = self.picture.load_of('desk-1', now)
+        return None if found is None else found.in_progress
+
+    def test_old_summary_counts_for_nothing(self):
+        """Guards against decisions from a picture that is out of date."""
+        self.record('h-1', 1, load(in_progress=4), age=0.5)
+        self.assertEqual(4, self.in_progress(0.999 * SECOND))
+        self.assertTrue(self.picture.is_fresh(0.999 * SECOND))
+        self.assertIsNone(self.in_progress(SECOND))
+        self.assertFalse(self.picture.is_fresh(SECOND))
+
+    def test_sum_of_more_hosts_is_kept_while_two_hosts_sum(self):
+        """Guards against a picture that changes with each message."""
+        self.record('h-1', 1, load(in_progress=60), hosts=60)
+        self.assertFalse(self.record('h-2', 1, load(), hosts=15))
+        self.assertTrue(self.record('h-3', 1, load(), hosts=61))
+
+    def test_sum_of_fewer_hosts_follows_a_silent_sender(self):
+        """Guards against a picture that grows old though a host sums."""
+        self.record('h-1', 1, hosts=75)
+        self.assertFalse(self.record('h-2', 1, hosts=74, now=0.9 * SECOND))
+        self.assertTrue(self.record('h-2', 2, hosts=74, now=SECOND))
+
+    def test_summary_that_came_two_ways_counts_once(self):
+        """Guards against loops between hosts that pass summaries on."""
+        self.assertTrue(self.record('h-1', 2))
+        self.assertFalse(self.record('h-1', 2))
+        self.assertFalse(self.record('h-1', 1))
+        self.assertEqual(1, self.picture.revision)
+
+    def test_restarted_sender_replaces_its_earlier_process(self):
+        """Guards against a new process whose serials are ignored."""
+        self.record('h-1', 900, incarnation=1)
+        self.assertTrue(self.record('h-1', 1, incarnation=2))
+        self.assertFalse(self.record('h-1', 901, incarnation=1))
+
+    def test_loads_of_data_centres_are_added(self):
+        """Guards against upstreams whose load from elsewhere is missed."""
+        self.record('h-1', 1, load(in_progress=4))
+        self.record('h-9', 1, load(in_progress=3), data_centre='kgn-b')
+        self.assertEqual(7, self.in_progress())
+        self.assertEqual(150, self.picture.hosts(0 * SECOND))
+
+    def test_demand_is_a_rate_by_priority(self):
+        """Guards against counts that grow with the interval of reports."""
+        demand = load_reports.ServiceDemand('desk', 1, 10, 2)
+        self.record('h-1', 1, demands=[demand])
+        self.assertEqual(
+            {1: load_reports.DemandRate(50.0, 10.0)},
+            self.picture.demand_of('desk', 0 * SECOND),
+        )
+
+    def test_names_of_data_centres_take_bounded_memory(self):
+        """Guards against senders that fill the memory of a host."""
+        for number in range(200):
+            self.record('h-1', 1, data_centre=f'dc-{number}')
+        self.assertEqual(64, len(self.picture.summaries(0 * SECOND)))
+        self.assertTrue(self.record('h-1', 1, now=2 * SECOND))
+
+
+class CollectorTest(unittest.TestCase):
+    def setUp(self):
+        self.collector = load_reports.LoadCollector('h-1', 'kgn-a', 1)
+        self.collector.take_report(0 * SECOND)
+
+    def finish(self, count, size, duration, service='desk'):
+        """Count requests; return how many were taken for rejections."""
+        for _ in range(count):
+            self.collector.begin_request('desk-1')
+            self.collector.finish_request('desk-1', service, duration, size)
+        (taken,) = self.collector.take_report(SECOND).upstreams
+        self.assertEqual(count, taken.finished + taken.rejected)
+        return taken.rejected
+
+    def test_levels_last_and_counts_start_anew(self):
+        """Guards against counts that appear in two reports."""
+        self.collector.begin_request('desk-1')
+        self.collector.add_flow('desk-1')
+        (first,) = self.collector.take_report(SECOND).upstreams
+        (second,) = self.collector.take_report(2 * SECOND).upstreams
+        self.assertEqual((1, 1), (first.in_progress, first.started))
+        self.assertEqual((1, 1), (second.in_progress, second.open_flows))
+        self.assertEqual(0, second.started)
+
+    def test_idle_upstreams_are_left_out(self):
+        """Guards against reports that grow with the number of upstreams."""
+        self.finish(1, 1448, 50 * MS)
+        taken = self.collector.take_report(2 * SECOND)
+        self.assertEqual([], taken.upstreams)
+
+    def test_short_and_early_responses_are_rejections(self):
+        """Guards against an upstream without room that looks fast."""
+        self.assertEqual(0, self.finish(50, 1448, 50 * MS))
+        self.assertEqual(30, self.finish(30, 150, 1 * MS))
+        self.assertEqual(0, self.finish(30, 150, 50 * MS))
+
+    def test_rejections_of_a_long_crowd_stay_rejections(self):
+        """Guards against rejections that become what is usual."""
+        self.finish(50, 1448, 50 * MS)
+        self.assertEqual(5000, self.finish(5000, 150, 1 * MS))
+
+    def test_small_responses_of_a_service_are_no_rejections(self):
+        """Guards against services whose usual responses have no body."""
+        self.finish(50, 200, 50 * MS)
+        self.assertEqual(0, self.finish(50, 150, 1 * MS))
+
+    def test_fast_responses_with_a_body_are_no_rejections(self):
+        """Guards against cached responses that count as rejections."""
+        self.finish(50, 1448, 50 * MS)
+        self.assertEqual(0, self.finish(50, 1448, 1 * MS))
+
+    def test_host_that_starts_in_a_crowd_learns_what_is_usual(self):
+        """Guards against rejections that hide all later ones."""
+        for _ in range(100):
+            self.finish(2, 150, 1 * MS)
+            self.finish(1, 1448, 50 * MS)
+        self.assertEqual(20, self.finish(20, 150, 1 * MS))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/acaciamoor/load_reports/tests/traffic.py
@@ -0,0 +1,188 @@
+"""Messages and bytes of load reports, computed from encoded sizes.
+
+``python -m acaciamoor.load_reports.tests.traffic`` prints the table of
+docs/design/load-reports.md.
+"""
+
+import random
+
+import msgspec
+
+from acaciamoor import load_reports
+from acaciamoor import replica
+
+# New flows a second at a host: 690,000 at 11,000 hosts (docs/CAPACITY.md).
+OPENINGS_PER_S = 63
+# Requests last for 50 ms; one in ten flows carries one at a time.
+REQUEST_S = 0.05
+SERVICES = 4
+PRIORITIES = 3
+# Hosts that report to a branch, and hosts for each branch.
+HOSTS_PER_BRANCH = 16
+# Sites of the table: hosts and upstreams of a data centre, data centres.
+SITES = ((9, 15, 1), (25, 100, 3), (100, 400, 3), (367, 2333, 30))
+HEADINGS = ('listener', 'branch', 'first host', 'relay of the site')
+
+
+def make_loads(upstreams, requests, random_source):
+    """Return loads of the upstreams that the requests of an interval use."""
+    started = [0] * upstreams
+    for _ in range(requests):
+        started[random_source.randrange(upstreams)] += 1
+    return [
+        load_reports.UpstreamLoad(
+            f'order-desk-{number:04}',
+            max(1, count // 4),
+            count,
+            count,
+            count,
+            count * REQUEST_S * random_source.random(),
+            0,
+            count,
+            0,
+        )
+        for number, count in enumerate(started)
+        if count
+    ]
+
+
+def make_demands(requests):
+    """Return demands of all services and priorities."""
+    keys = [(s, p) for s in range(SERVICES) for p in range(PRIORITIES)]
+    return [
+        load_reports.ServiceDemand(
+            f'order-desk-{service}', priority, requests // len(keys), 0
+        )
+        for service, priority in keys
+    ]
+
+
+def encode(message_type, body):
+    """Return the size of a message on the wire, without TCP and IP."""
+    raw = msgspec.Raw(msgspec.msgpack.encode(body))
+    return len(replica.MessageCodec().encode(message_type(raw, 12345.678)))
+
+
+class Sizes:
+    """Sizes of the messages of a site, in bytes, and its pace."""
+
+    def __init__(self, hosts, upstreams, data_centres):
+        source = random.Random(1)
+        self.hosts = hosts
+        self.data_centres = data_centres
+        self.pace = load_reports.Pace.of(hosts, data_centres)
+        self.branches = (
+            -(-hosts // HOSTS_PER_BRANCH)
+            if hosts > 2 * HOSTS_PER_BRANCH
+            else 0
+        )
+        seconds = self.pace.interval.total_seconds()
+
+        def report(count):
+            requests = int(OPENINGS_PER_S * seconds * count)
+            loads = make_loads(upstreams, requests, source)
+            return load_reports.limit_report(
+                load_reports.HostReport(
+                    'entry-kgn-a-0017',
+                    'kgn-a',
+                    1 << 31,
+                    5000,
+                    seconds,
+                    loads,
+                    make_demands(requests),
+                    count,
+                    0.1234,
+                ),
+                self.pace.report_upstreams,
+            )
+
+        self.report = encode(replica.Report, report(1))
+        self.idle = encode(
+            replica.Report,
+            msgspec.structs.replace(report(1), upstreams=[], demands=[]),
+        )
+        self.branch_report = encode(replica.Report, report(HOSTS_PER_BRANCH))
+        total = report(hosts)
+        summary = load_reports.LoadSummary(
+            'kgn-a',
+            'entry-kgn-a-0017',
+            1 << 31,
+            5000,
+            hosts,
+            0.1234,
+            seconds,
+            make_loads(
+                upstreams, int(OPENINGS_PER_S * seconds * hosts), source
+            ),
+            total.demands,
+        )
+        self.summary, self.foreign = (
+            encode(replica.Summary, load_reports.limit_summary(summary, count))
+            for count in (
+                self.pace.summary_upstreams,
+                self.pace.foreign_upstreams,
+            )
+        )
+
+    def rates(self):
+        """Return messages and bytes a second, sent and received, by role.
+
+        A report or summary is counted once at its sender and once at its
+        receiver.
+        """
+        own = 1 / self.pace.interval.total_seconds()
+        abroad = 1 / self.pace.foreign_interval.total_seconds()
+        others = self.data_centres - 1
+        # Hosts that report to the first one.
+        below = self.branches + 1 if self.branches else self.hosts - 1
+        below_report = self.branch_report if self.branches else self.report
+        # Summaries for one receiver: the own one and those of the others.
+        down = own + others * abroad
+        down_bytes = own * self.summary + others * abroad * self.foreign
+        listener = own + down, own * self.report + down_bytes
+        branch = (
+            own + down + HOSTS_PER_BRANCH * (own + down),
+            own * self.branch_report
+            + down_bytes
+            + HOSTS_PER_BRANCH * (own * self.report + down_bytes),
+        )
+        first = (
+            below * (own + down) + (others > 0) * abroad + others * abroad,
+            below * (own * below_report + down_bytes)
+            + (others > 0) * abroad * self.foreign
+            + others * abroad * self.foreign,
+        )
+        # As the first host of its data centre, and for the other ones.
+        relay = (
+            below * (own + down) + others * (1 + others) * abroad,
+            below * (own * below_report + down_bytes)
+            + others * (1 + others) * abroad * self.foreign,
+        )
+        if not self.branches:
+            branch = None
+        return listener, branch, first, relay
+
+
+def main():
+    """Print the table."""
+    for site in SITES:
+        sizes = Sizes(*site)
+        pace = sizes.pace
+        print(
+            f'{site[0] * site[2]} hosts: {site[2]} x {site[0]} hosts, '
+            f'{site[1]} upstreams each; interval '
+            f'{pace.interval.total_seconds():.3f} s, foreign '
+            f'{pace.foreign_interval.total_seconds():.3f} s; upstreams in '
+            f'a report {pace.report_upstreams}, summary '
+            f'{pace.summary_upstreams}, foreign {pace.foreign_upstreams}; '
+            f'bytes: report {sizes.report}, idle {sizes.idle}, branch '
+            f'{sizes.branch_report}, summary {sizes.summary}, foreign '
+            f'{sizes.foreign}'
+        )
+        for heading, rate in zip(HEADINGS, sizes.rates(), strict=True):
+            if rate is not None:
+                print(f'  {heading}: {rate[0]:.1f}/s, {rate[1]:,.0f} B/s')
+
+
+if __name__ == '__main__':
+    main()
