--- a/acaciamoor/forwarder/shell/load_exchange.py
+++ b/acaciamoor/forwarder/shell/load_exchange.py
@@ -19,7 +19,7 @@
 _SECOND = datetime.timedelta(seconds=1)
 _ENCODER = msgspec.msgpack.Encoder()
 _REPORT_DECODER = msgspec.msgpack.Decoder(load_reports.HostReport)
-_SUMMARY_DECODER = msgspec.msgpack.Decoder(load_reports.LoadSummary)
+_SUMMARY_DECODER = msgspec.msgpack.Decoder(list[load_reports.LoadSummary])
 
 # Share of the interval between reports by which a summary for other data
 # centres may be early; timers are late by milliseconds.
@@ -78,6 +78,12 @@
         self._active = False
         self._was_fresh = False
         self._pace = load_reports.Pace.of(1, 1)
+        # Sums of other data centres that wait to be passed on, and when they
+        # were received; those of 30 data centres shrink to a quarter in one
+        # message.
+        self._waiting_by_data_centre: dict[
+            str, tuple[load_reports.LoadSummary, datetime.timedelta]
+        ] = {}
         # When the sum of this data centre was last sent to others.
         self._sent_abroad_at: datetime.timedelta | None = None
         self._rate_limiter = bounded.LogRateLimiter(clock)
@@ -96,10 +102,22 @@
         """Send the report, or the sum of reports, of an interval."""
         now = self._clock.monotonic()
         self._log_freshness(now)
+        waiting = self._take_waiting(now)
+        own = self._collect(now)
+        if own is not None:
+            self._picture.record(own, now)
+        abroad = self._select_for_abroad(own, now)
+        self._send_to_listeners(own, abroad, waiting, now)
+        self._send_up([*abroad, *waiting], now)
+
+    def _collect(
+        self, now: datetime.timedelta
+    ) -> load_reports.LoadSummary | None:
+        """Take the report of this host, and send it or return the sum."""
         hosts = self._server.local_hosts
         if hosts < load_reports.MIN_HOSTS:
             self._active = False
-            return
+            return None
         known = self._picture.summaries(now).keys() | {self._own.data_centre}
         self._pace = load_reports.Pace.of(hosts, len(known))
         report = self._collector.take_report(now)
@@ -107,12 +125,12 @@
             # Its counts are those since the start, or since the data centre
             # last had enough hosts.
             self._active = True
-            return
+            return None
         self._aggregator.record(report, now)
         if self._peers.leads_data_centre(now):
-            self._send_summary(now)
-        else:
-            self._send_report(now)
+            return self._aggregator.summarize(now)
+        self._send_report(now)
+        return None
 
     def receive_from_listener(
         self,
@@ -125,64 +143,66 @@
         sent_at = self._clock.monotonic() - delay
         _receive(message, self, host_id, data_centre, sent_at)
 
-    def receive_summary(
+    def receive_from_relay(
         self,
         message: replicas.Summary,
         host_id: str,
         sent_at: datetime.timedelta,
-    ) -> load_reports.LoadSummary | None:
-        """Record a summary, and send it to those that report to this host.
+    ) -> None:
+        """Record sums, and send them to those that report to this host.
 
         Parameters
         ----------
         message : Summary
             The message.
         host_id : str
-            Host that sent it.
+            Relay that sent it.
         sent_at : datetime.timedelta
             Time at which it was sent.
-
-        Returns
-        -------
-        LoadSummary or None
-            The summary; None if it is malformed or no news.
         """
+        news = self.record_summaries(message, host_id, sent_at)
+        if news:
+            now = self._clock.monotonic()
+            aged = [_age(summary, now - sent_at) for summary in news]
+            self._send_to_listeners(None, [], aged, now)
+
+    def record_summaries(
+        self,
+        message: replicas.Summary,
+        host_id: str,
+        sent_at: datetime.timedelta,
+    ) -> list[load_reports.LoadSummary]:
+        """Record sums; return those that are news."""
         try:
-            summary = _SUMMARY_DECODER.decode(message.body)
+            summaries = _SUMMARY_DECODER.decode(message.body)
         except msgspec.MsgspecError as error:
             self._refuse('summary', host_id, str(error))
-            return None
-        if not self._picture.record(summary, sent_at):
-            # Also a second copy, which came another way.
+            return []
+        news = [
+            summary
+            for summary in summaries
+            if self._picture.record(summary, sent_at)
+        ]
+        if news:
+            self.messages.add(type='summary', outcome='received')
+        else:
+            # A second copy, which came another way.
             self.messages.add(type='summary', outcome='ignored')
-            return None
-        self.messages.add(type='summary', outcome='received')
-        own = self._own.data_centre
-        self._send_to_listeners(
-            _age(summary, self._clock.monotonic() - sent_at),
-            # Another data centre needs no sum of its own hosts.
-            lambda host, data_centre: (
-                host != host_id
-                and (data_centre == own or data_centre != summary.data_centre)
-            ),
-        )
-        return summary
+        return news
 
-    def receive_summary_from_below(
+    def hold_summaries(
         self,
         message: replicas.Summary,
         host_id: str,
         sent_at: datetime.timedelta,
     ) -> None:
-        """Record a summary of another data centre, and pass it on.
-
-        A data centre that cannot reach the relay of the site sends its sums
-        to the standby, which sends them on to the relay.
-        """
-        summary = self.receive_summary(message, host_id, sent_at)
-        if summary is not None:
-            now = self._clock.monotonic()
-            self._send_up(_age(summary, now - sent_at), now, host_id)
+        """Record sums of another data centre, which are passed on soon."""
+        for summary in self.record_summaries(message, host_id, sent_at):
+            # One for each data centre in the picture, which are bounded.
+            self._waiting_by_data_centre[summary.data_centre] = (
+                summary,
+                sent_at,
+            )
 
     def record_report(
         self,
@@ -218,29 +238,60 @@
             # A repeated report, or one of an earlier process.
             self.messages.add(type='report', outcome='ignored')
 
-    def _send_summary(self, now: datetime.timedelta) -> None:
-        """Send the sum for all hosts of the data centre."""
-        summary = self._aggregator.summarize(now)
-        self._picture.record(summary, now)
-        own = self._own.data_centre
-        self._send_to_listeners(
-            load_reports.limit_summary(summary, self._pace.summary_upstreams),
-            lambda _, data_centre: data_centre == own,
-        )
-        sent_at = self._sent_abroad_at
-        early = self._pace.interval * _EARLY_SHARE
-        if sent_at is not None and (
-            now - sent_at < self._pace.foreign_interval - early
-        ):
+    def _take_waiting(
+        self, now: datetime.timedelta
+    ) -> list[load_reports.LoadSummary]:
+        waiting = [
+            _age(summary, now - sent_at)
+            for summary, sent_at in self._waiting_by_data_centre.values()
+        ]
+        self._waiting_by_data_centre.clear()
+        return waiting
+
+    def _send_to_listeners(
+        self,
+        own: load_reports.LoadSummary | None,
+        abroad: list[load_reports.LoadSummary],
+        others: list[load_reports.LoadSummary],
+        now: datetime.timedelta,
+    ) -> None:
+        """Send sums to the listeners that report to this host.
+
+        Parameters
+        ----------
+        own : LoadSummary or None
+            Sum of the own data centre, for its hosts.
+        abroad : list of LoadSummary
+            The same for other data centres; empty if it is not due there.
+        others : list of LoadSummary
+            Sums of other data centres.
+        now : datetime.timedelta
+            Current time.
+        """
+        if own is None and not others:
             return
-        self._sent_abroad_at = now
-        limited = load_reports.limit_summary(
-            summary, self._pace.foreign_upstreams
-        )
-        self._send_to_listeners(
-            limited, lambda _, data_centre: data_centre != own
-        )
-        self._send_up(limited, now)
+        for data_centre in self._server.get_reporting_data_centres():
+            if data_centre == self._own.data_centre:
+                summaries = list(others)
+                if own is not None:
+                    summaries.append(
+                        load_reports.limit_summary(
+                            own, self._pace.summary_upstreams
+                        )
+                    )
+            else:
+                # Another data centre needs no sum of its own hosts.
+                summaries = [
+                    summary
+                    for summary in (*abroad, *others)
+                    if summary.data_centre != data_centre
+                ]
+            if summaries:
+                sent, missed = self._server.send_summary(
+                    _encode_summaries(summaries, now), data_centre
+                )
+                self._count('summary', 'sent', sent)
+                self._count('summary', 'left_out', missed)
 
     def _send_report(self, now: datetime.timedelta) -> None:
         """Send the report of this host, and of those that report to it."""
@@ -256,49 +307,52 @@
         )
         if relay is not None:
             report = load_reports.limit_report(
-                self._aggregator.combine(now), self._pace.report_upstreams
+                self._aggregator.combine(now), self._pace
             )
             message = replicas.Report(
                 msgspec.Raw(_ENCODER.encode(report)), now / _SECOND
             )
-            self._count_sent('report', self._send_to_relay(relay, message))
+            sent = self._send_to_relay(relay, message)
+            self._count('report', 'sent' if sent else 'left_out', 1)
 
     def _send_up(
         self,
-        summary: load_reports.LoadSummary,
+        summaries: list[load_reports.LoadSummary],
         now: datetime.timedelta,
-        source: str = '',
     ) -> None:
-        """Send a summary to the relay of the site, unless it is this host."""
-        if self._peers.role(now) is replicas.Role.RELAY:
+        """Send sums to the relay of the site, unless it is this host.
+
+        A data centre that cannot reach that relay sends its sums to the
+        standby, which sends them on to the relay.
+        """
+        if not summaries or self._peers.role(now) is replicas.Role.RELAY:
             return
         relays = self._peers.relays(now)
+        if relays and relays[0].data_centre != self._own.data_centre:
+            sent = self._send_to_relay(
+                relays[0], _encode_summaries(summaries, now)
+            )
+            self._count('summary', 'sent' if sent else 'left_out', 1)
+
+    def _select_for_abroad(
+        self, own: load_reports.LoadSummary | None, now: datetime.timedelta
+    ) -> list[load_reports.LoadSummary]:
+        """Return the own sum for other data centres, if it is due."""
+        if own is None:
+            return []
+        early = self._pace.interval * _EARLY_SHARE
         if (
-            relays
-            and relays[0].host_id != source
-            and relays[0].data_centre != self._own.data_centre
+            self._sent_abroad_at is not None
+            and now - self._sent_abroad_at
+            < self._pace.foreign_interval - early
         ):
-            self._count_sent(
-                'summary',
-                self._send_to_relay(relays[0], _encode_summary(summary, now)),
-            )
-
-    def _send_to_listeners(
-        self,
-        summary: load_reports.LoadSummary,
-        select: collections.abc.Callable[[str, str], bool],
-    ) -> None:
-        sent, missed = self._server.send_summary(
-            _encode_summary(summary, self._clock.monotonic()), select
-        )
-        if sent:
-            self.messages.add(sent, type='summary', outcome='sent')
-        if missed:
-            self.messages.add(missed, type='summary', outcome='left_out')
+            return []
+        self._sent_abroad_at = now
+        return [load_reports.limit_summary(own, self._pace.foreign_upstreams)]
 
-    def _count_sent(self, kind: str, sent: bool) -> None:
-        outcome = 'sent' if sent else 'left_out'
-        self.messages.add(type=kind, outcome=outcome)
+    def _count(self, kind: str, outcome: str, count: int) -> None:
+        if count:
+            self.messages.add(count, type=kind, outcome=outcome)
 
     def _log_freshness(self, now: datetime.timedelta) -> None:
         fresh = self._picture.is_fresh(now)
@@ -327,11 +381,11 @@
     )
 
 
-def _encode_summary(
-    summary: load_reports.LoadSummary, now: datetime.timedelta
+def _encode_summaries(
+    summaries: list[load_reports.LoadSummary], now: datetime.timedelta
 ) -> replicas.Summary:
     return replicas.Summary(
-        msgspec.Raw(_ENCODER.encode(summary)), now / _SECOND
+        msgspec.Raw(_ENCODER.encode(summaries)), now / _SECOND
     )
 
 
@@ -365,4 +419,4 @@
     data_centre: str,
     sent_at: datetime.timedelta,
 ) -> None:
-    exchange.receive_summary_from_below(message, host_id, sent_at)
+    exchange.hold_summaries(message, host_id, sent_at)
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -46,6 +46,13 @@
     # Time of its last report; None before the first one.
     reported_at: datetime.timedelta | None = None
 
+    def reports(self, now: datetime.timedelta) -> bool:
+        """Return whether the host has reported lately."""
+        return (
+            self.reported_at is not None
+            and now - self.reported_at <= _REPORTER_PERIOD
+        )
+
 
 class RelayServer:
     """Sends changes and heartbeats to the listening hosts.
@@ -194,37 +201,37 @@
             )
         )
 
+    def get_reporting_data_centres(self) -> set[str]:
+        """Return the data centres of the listeners that report here."""
+        now = self._clock.monotonic()
+        return {
+            listener.data_centre
+            for listener in self._listeners_by_host.values()
+            if listener.reports(now)
+        }
+
     def send_summary(
-        self,
-        message: replicas.Summary,
-        select: collections.abc.Callable[[str, str], bool],
+        self, message: replicas.Summary, data_centre: str
     ) -> tuple[int, int]:
-        """Send a summary to listeners that report to this host.
+        """Send sums to the listeners of a data centre that report here.
 
-        Listeners that do not read miss it, and stay connected.
-
-        Parameters
-        ----------
-        message : Summary
-            The summary.
-        select : callable
-            Returns whether a listener gets it, from its host and data centre.
+        Listeners that do not read miss them, and stay connected.
 
         Returns
         -------
         tuple
-            Number of listeners that it was sent to, and that missed it.
+            Number of listeners that were sent the message, and that missed
+            it.
         """
         now = self._clock.monotonic()
         sent = missed = 0
         frame = b''
-        for host, listener in self._listeners_by_host.items():
+        for listener in self._listeners_by_host.values():
             writer = listener.writer
             if (
-                listener.reported_at is None
-                or now - listener.reported_at > _REPORTER_PERIOD
+                listener.data_centre != data_centre
+                or not listener.reports(now)
                 or writer.is_closing()
-                or not select(host, listener.data_centre)
             ):
                 continue
             unsent = writer.transport.get_write_buffer_size()
--- a/acaciamoor/forwarder/shell/store_synchronizer.py
+++ b/acaciamoor/forwarder/shell/store_synchronizer.py
@@ -337,7 +337,7 @@
             # It says nothing of the collections, nor that the relay follows
             # them.
             if self._load_exchange is not None:
-                self._load_exchange.receive_summary(
+                self._load_exchange.receive_from_relay(
                     message, peer.host_id, sent_at
                 )
             return
--- a/acaciamoor/forwarder/tests/test_load_reports.py
+++ b/acaciamoor/forwarder/tests/test_load_reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import random
 import unittest
 from unittest import mock
 
@@ -105,7 +106,7 @@
 
     def summary(self, size=0):
         """Return a message with a body of `size` bytes."""
-        body = msgspec.msgpack.encode('x' * size)
+        body = msgspec.msgpack.encode(random.randbytes(size))
         return replica.Summary(msgspec.Raw(body), 1.0)
 
     async def listen_and_report(self):
@@ -136,7 +137,7 @@
             _, task = await self.listen_and_report()
             async with asyncio.timeout(10):
                 while not task.done():
-                    self.server.send_summary(self.summary(), lambda *_: True)
+                    self.server.send_summary(self.summary(), 'kgn-a')
                     await asyncio.sleep(0.05)
         self.assertIsInstance(task.exception(), TimeoutError)
 
@@ -146,7 +147,7 @@
         # The sockets of both ends take some megabytes before the relay has
         # to keep anything. The loop does not run meanwhile.
         results = [
-            self.server.send_summary(self.summary(4000), lambda *_: True)
+            self.server.send_summary(self.summary(4000), 'kgn-a')
             for _ in range(3000)
         ]
         self.assertEqual((1, 0), results[0])
@@ -159,7 +160,7 @@
         messages, task = self.listen('h-2', self.source)
         await messages.get()
         self.assertEqual(
-            (0, 0), self.server.send_summary(self.summary(), lambda *_: True)
+            (0, 0), self.server.send_summary(self.summary(), 'kgn-a')
         )
         task.cancel()
 
@@ -194,8 +195,8 @@
 
     def test_report_with_values_out_of_range_is_refused(self):
         """Guards against a sum that a single faulty host makes useless."""
-        body = msgspec.to_builtins(builders.report('h-1'))
-        body['interval'] = float('inf')
+        body = list(msgspec.to_builtins(builders.report('h-1')))
+        body[4] = float('inf')
         with self.assertLogs(level='WARNING'):
             self.assertEqual('refused', self.receive(body))
 
--- a/acaciamoor/load_reports/aggregator.py
+++ b/acaciamoor/load_reports/aggregator.py
@@ -151,13 +151,13 @@
         max(_ZERO, now - item.taken_at).total_seconds() * item.report.hosts
         for item in received
     )
-    return sum(ages) / hosts if hosts else 0.0
+    return reports.round_seconds(sum(ages) / hosts) if hosts else 0.0
 
 
 def _mean_interval(received: collections.abc.Sequence[_Received]) -> float:
     hosts = sum(item.report.hosts for item in received)
     intervals = (item.report.interval * item.report.hosts for item in received)
-    return sum(intervals) / hosts if hosts else 0.0
+    return reports.round_seconds(sum(intervals) / hosts) if hosts else 0.0
 
 
 def _sum_upstreams(
--- a/acaciamoor/load_reports/collector.py
+++ b/acaciamoor/load_reports/collector.py
@@ -43,7 +43,7 @@
             self.open_flows,
             self.started,
             self.finished,
-            min(self.busy_seconds, float(reports.MAX_COUNT)),
+            reports.round_seconds(self.busy_seconds),
             self.rejected,
             self.openings,
             self.unanswered,
--- a/acaciamoor/load_reports/pace.py
+++ b/acaciamoor/load_reports/pace.py
@@ -14,8 +14,8 @@
 MIN_INTERVAL = datetime.timedelta(milliseconds=200)
 # A report waits for up to one interval at a branch, at the first host and at
 # its receiver. Three of these intervals stay below the 1.5 s after which a
-# summary counts for nothing, and two below the 1 s of a report.
-MAX_INTERVAL = datetime.timedelta(milliseconds=400)
+# summary counts for nothing, also with one lost message.
+MAX_INTERVAL = datetime.timedelta(milliseconds=300)
 # Hosts up to which the shortest interval is used: those of the present site.
 _HOSTS_AT_MIN_INTERVAL = 75
 # Hosts of a data centre above which the size of messages is limited. Below
@@ -27,15 +27,15 @@
 REPORT_BYTES_PER_S = 1500
 SUMMARY_BYTES_PER_S = 3000
 FOREIGN_BYTES_PER_S = 1500
-# Mean encoded size of an upstream, and that of all other fields of a message
-# with a few services, in bytes; measured by tests/test_sizes.py.
-UPSTREAM_BYTES = 28
-FIXED_BYTES = 250
+# Encoded size of an upstream, and that of all other fields of a message with
+# 12 demands, in bytes and compressed; checked by tests/test_traffic.py.
+UPSTREAM_BYTES = 10
+FIXED_BYTES = 230
 # Interval between two summaries of another data centre that are passed on,
-# for each data centre beyond two; and its maximum, which leaves 0.7 s of the
-# 1.5 s for the way.
+# for each data centre beyond two; and its maximum, which leaves 0.9 s of the
+# 1.5 s for the way: three intervals.
 _FOREIGN_INTERVAL_STEP = datetime.timedelta(milliseconds=50)
-_MAX_FOREIGN_INTERVAL = datetime.timedelta(milliseconds=800)
+_MAX_FOREIGN_INTERVAL = datetime.timedelta(milliseconds=600)
 
 
 class Pace(msgspec.Struct, frozen=True):
@@ -48,7 +48,7 @@
     foreign_interval : datetime.timedelta
         Minimum interval between summaries of another data centre.
     report_upstreams : int
-        Upstreams in the report of a host or a branch.
+        Upstreams in a report, for each of its hosts.
     summary_upstreams : int
         Upstreams in the summary for the own data centre.
     foreign_upstreams : int
@@ -59,7 +59,7 @@
     >>> Pace.of(9, 1).interval / datetime.timedelta(milliseconds=1)
     200.0
     >>> Pace.of(367, 30).interval / datetime.timedelta(milliseconds=1)
-    400.0
+    300.0
     """
 
     interval: datetime.timedelta
@@ -103,10 +103,12 @@
     return min(max(count, 0), reports.MAX_UPSTREAMS)
 
 
-def limit_report(
-    report: reports.HostReport, upstreams: int
-) -> reports.HostReport:
-    """Return a report of the busiest upstreams."""
+def limit_report(report: reports.HostReport, pace: Pace) -> reports.HostReport:
+    """Return a report of the busiest upstreams.
+
+    The sum of a branch holds as many as the reports of its hosts.
+    """
+    upstreams = pace.report_upstreams * report.hosts
     if len(report.upstreams) <= upstreams:
         return report
     return msgspec.structs.replace(
--- a/acaciamoor/load_reports/picture.py
+++ b/acaciamoor/load_reports/picture.py
@@ -10,7 +10,7 @@
 # Evidence older than this counts for nothing; see docs/parts.md, part 3.
 MAX_AGE = datetime.timedelta(milliseconds=1500)
 # Silence of a sender after which the sum of another host replaces one of more
-# hosts. Sums arrive every 800 ms at the latest; see `Pace`.
+# hosts. Sums arrive every 600 ms at the latest; see `Pace`.
 REPLACEMENT_SILENCE = datetime.timedelta(seconds=1)
 # Data centres of which summaries are kept, many times those of a site.
 MAX_DATA_CENTRES = 64
--- a/acaciamoor/load_reports/report.py
+++ b/acaciamoor/load_reports/report.py
@@ -6,6 +6,8 @@
 
 # Counts and levels above this one cannot be true.
 MAX_COUNT = 1 << 31
+# Fractions of a second in which times are reported.
+_FRACTIONS = 1024
 # Upstreams in one report; a host that saw more reports the busiest ones.
 MAX_UPSTREAMS = 4096
 
@@ -16,6 +18,20 @@
             raise ValueError(f'{number} is out of range')
 
 
+def round_seconds(seconds: float) -> float:
+    """Return a time rounded to 1/1024 s, and limited to the valid range.
+
+    A random float does not compress; one with a short binary fraction takes
+    two or three bytes of a message.
+
+    Examples
+    --------
+    >>> round_seconds(0.0500123)
+    0.0498046875
+    """
+    return min(round(seconds * _FRACTIONS) / _FRACTIONS, float(MAX_COUNT))
+
+
 class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
     """Load of an upstream, as one host or several hosts together saw it.
 
@@ -97,7 +113,7 @@
         _check_numbers(self.openings, self.refused)
 
 
-class HostReport(msgspec.Struct, frozen=True):
+class HostReport(msgspec.Struct, frozen=True, array_like=True):
     """What passed one host in an interval.
 
     Parameters
@@ -139,7 +155,7 @@
             )
 
 
-class LoadSummary(msgspec.Struct, frozen=True):
+class LoadSummary(msgspec.Struct, frozen=True, array_like=True):
     """Sum of the reports of the hosts of a data centre.
 
     Parameters
--- a/acaciamoor/load_reports/tests/test_reports.py
+++ b/acaciamoor/load_reports/tests/test_reports.py
@@ -25,11 +25,11 @@
             ('busy_seconds', float('inf')),
             ('openings', (1 << 31) + 1),
         ):
-            body = msgspec.to_builtins(report('h-1', 1, load()))
             index = reports.UpstreamLoad.__struct_fields__.index(field)
-            numbers = list(body['upstreams'][0])
+            numbers = list(msgspec.to_builtins(load()))
             numbers[index] = value
-            body['upstreams'] = [numbers]
+            body = list(msgspec.to_builtins(report('h-1')))
+            body[5] = [numbers]
             encoded = msgspec.msgpack.encode(body)
             with (
                 self.subTest(field=field, value=value),
--- a/acaciamoor/load_reports/tests/traffic.py
+++ b/acaciamoor/load_reports/tests/traffic.py
@@ -10,6 +10,7 @@
 
 from acaciamoor import load_reports
 from acaciamoor import replica
+from acaciamoor.load_reports import report as reports
 
 # New flows a second at a host: 690,000 at 11,000 hosts (docs/CAPACITY.md).
 OPENINGS_PER_S = 63
@@ -36,7 +37,7 @@
             count,
             count,
             count,
-            count * REQUEST_S * random_source.random(),
+            reports.round_seconds(count * REQUEST_S * random_source.random()),
             0,
             count,
             0,
@@ -93,7 +94,7 @@
                     count,
                     0.1234,
                 ),
-                self.pace.report_upstreams,
+                self.pace,
             )
 
         self.report = encode(replica.Report, report(1))
@@ -116,13 +117,44 @@
             ),
             total.demands,
         )
-        self.summary, self.foreign = (
-            encode(replica.Summary, load_reports.limit_summary(summary, count))
-            for count in (
-                self.pace.summary_upstreams,
-                self.pace.foreign_upstreams,
-            )
+        self.summary = encode(
+            replica.Summary,
+            [load_reports.limit_summary(summary, self.pace.summary_upstreams)],
+        )
+        foreign = load_reports.limit_summary(
+            summary, self.pace.foreign_upstreams
         )
+        self.foreign = encode(replica.Summary, [foreign])
+        # Sums that arrive at the relay in an interval go on as one message.
+        waiting = round(
+            (data_centres - 1)
+            * self.pace.interval
+            / self.pace.foreign_interval
+        )
+        self.batch = 0
+        if waiting:
+            self.batch = encode(
+                replica.Summary,
+                [
+                    msgspec.structs.replace(
+                        foreign,
+                        data_centre=f'kgn-{number}',
+                        sender=f'entry-kgn-{number}-0017',
+                        incarnation=source.getrandbits(32),
+                        serial=5000 + number,
+                        demands=[
+                            load_reports.ServiceDemand(
+                                demand.service,
+                                demand.priority,
+                                demand.openings + source.randrange(100),
+                                source.randrange(9),
+                            )
+                            for demand in foreign.demands
+                        ],
+                    )
+                    for number in range(waiting)
+                ],
+            )
 
     def rates(self):
         """Return messages and bytes a second, sent and received, by role.
@@ -136,9 +168,10 @@
         # Hosts that report to the first one.
         below = self.branches + 1 if self.branches else self.hosts - 1
         below_report = self.branch_report if self.branches else self.report
-        # Summaries for one receiver: the own one and those of the others.
-        down = own + others * abroad
-        down_bytes = own * self.summary + others * abroad * self.foreign
+        # The own sum, and that of the others, for one receiver.
+        batches = own if self.batch else 0.0
+        down = own + batches
+        down_bytes = own * self.summary + batches * self.batch
         listener = own + down, own * self.report + down_bytes
         branch = (
             own + down + HOSTS_PER_BRANCH * (own + down),
@@ -146,17 +179,18 @@
             + down_bytes
             + HOSTS_PER_BRANCH * (own * self.report + down_bytes),
         )
+        up = abroad if others else 0.0
         first = (
-            below * (own + down) + (others > 0) * abroad + others * abroad,
+            below * (own + down) + up + batches,
             below * (own * below_report + down_bytes)
-            + (others > 0) * abroad * self.foreign
-            + others * abroad * self.foreign,
+            + up * self.foreign
+            + batches * self.batch,
         )
         # As the first host of its data centre, and for the other ones.
         relay = (
-            below * (own + down) + others * (1 + others) * abroad,
+            below * (own + down) + others * (abroad + batches),
             below * (own * below_report + down_bytes)
-            + others * (1 + others) * abroad * self.foreign,
+            + others * (abroad * self.foreign + batches * self.batch),
         )
         if not self.branches:
             branch = None
@@ -177,7 +211,7 @@
             f'{pace.summary_upstreams}, foreign {pace.foreign_upstreams}; '
             f'bytes: report {sizes.report}, idle {sizes.idle}, branch '
             f'{sizes.branch_report}, summary {sizes.summary}, foreign '
-            f'{sizes.foreign}'
+            f'{sizes.foreign}, batch {sizes.batch}'
         )
         for heading, rate in zip(HEADINGS, sizes.rates(), strict=True):
             if rate is not None:
--- a/acaciamoor/replica/messages.py
+++ b/acaciamoor/replica/messages.py
@@ -27,6 +27,9 @@
 # Messages above this size are compressed, to about an eighth. Hosts that start
 # together each get whole collections, also over narrow links.
 _MIN_COMPRESSED_BYTES = 4096
+# The same for reports and summaries, which are sent several times a second.
+# Smaller ones would hardly shrink.
+_MIN_COMPRESSED_LOAD_BYTES = 512
 _COMPRESSION_LEVEL = 1
 _SECOND = datetime.timedelta(seconds=1)
 # Terabit links do not exist yet; a wider one is an error.
@@ -241,7 +244,7 @@
 
 
 class Summary(msgspec.Struct, tag=True, frozen=True):
-    """Sum of the reports of a data centre; see `Report` on the body."""
+    """Sums of the reports of data centres; see `Report` on the body."""
 
     body: msgspec.Raw
     # By the monotonic clock of the sender, in seconds.
@@ -280,7 +283,10 @@
     def encode(self, message: Message) -> bytes:
         """Return an encoded message, prefixed with its length."""
         body = self._encoder.encode(message)
-        if len(body) >= _MIN_COMPRESSED_BYTES:
+        min_bytes = _MIN_COMPRESSED_BYTES
+        if isinstance(message, Report | Summary):
+            min_bytes = _MIN_COMPRESSED_LOAD_BYTES
+        if len(body) >= min_bytes:
             compressed = zlib.compress(body, _COMPRESSION_LEVEL)
             body = self._encoder.encode(Compressed(compressed))
         return _LENGTH.pack(len(body)) + body
