--- a/acaciamoor/forwarder/tests/test_load_reports.py
+++ b/acaciamoor/forwarder/tests/test_load_reports.py
@@ -12,8 +12,10 @@
 from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor import replica
+from acaciamoor.directory.tests import builders as directory_builders
 from acaciamoor.forwarder.shell import load_exchange
 from acaciamoor.forwarder.shell import relay_link
+from acaciamoor.forwarder.tests import builders as forwarder_builders
 from acaciamoor.forwarder.tests import test_data_centre
 from acaciamoor.forwarder.tests import test_relay
 from acaciamoor.load_reports.tests import builders
@@ -91,6 +93,19 @@
         self.start_all()
         await self.wait_for_hosts(16)
 
+    async def test_sums_confirm_no_collections(self):
+        """Guards against old lists in use while only reports arrive."""
+        self.store.cut_ids.add('host-0')
+        self.add_hosts(1)
+        (own,) = self.store.peers
+        self.start(own)
+        synchronizer = self.synchronizers_by_id[own.host_id]
+        body = msgspec.msgpack.encode([builders.summary()])
+        message = replica.Summary(msgspec.Raw(body), 1.0)
+        synchronizer._on_message(own, message, 0 * SECOND)
+        self.assertTrue(self.pictures_by_id[own.host_id].revision)
+        self.assertIsNone(synchronizer.age())
+
     async def test_few_hosts_send_no_reports(self):
         """Guards against a cost without use in small data centres."""
         self.add_hosts(7)
@@ -214,5 +229,129 @@
             self.assertEqual('refused', self.receive(builders.report('h-2')))
 
 
+class RecordingServer:
+    """Listeners in two data centres; records the sums that they are sent."""
+
+    local_hosts = 8
+
+    def __init__(self):
+        self.summaries_by_data_centre = {}
+
+    def get_reporting_data_centres(self):
+        return {'kgn-a', 'kgn-b'}
+
+    def send_summary(self, message, data_centre):
+        self.summaries_by_data_centre[data_centre] = msgspec.msgpack.decode(
+            message.body, type=list[load_reports.LoadSummary]
+        )
+        return 1, 0
+
+
+class PassOnTest(unittest.TestCase):
+    """Sums that the relay of a site passes on."""
+
+    def setUp(self):
+        own = replica.Peer('h-0', 'kgn-a', model.Address('127.0.0.1', 1))
+        self.clock = clock.ManualClock()
+        self.server = RecordingServer()
+        self.picture = load_reports.LoadPicture('kgn-a')
+        self.exchange = load_exchange.LoadExchange(
+            own,
+            load_reports.LoadCollector('h-0', 'kgn-a', 1),
+            self.picture,
+            replica.PeerList(own),
+            self.server,
+            lambda *_: True,
+            self.clock,
+        )
+        self.exchange.exchange()
+        self.receive(data_centre='kgn-b', age=0.5)
+
+    def receive(self, **fields):
+        """Receive the sum of another data centre."""
+        body = msgspec.msgpack.encode([builders.summary('h-9', **fields)])
+        self.exchange.receive_from_listener(
+            'h-9',
+            'kgn-b',
+            replica.Summary(msgspec.Raw(body), 1.0),
+            SECOND / 4,
+        )
+
+    def names(self, data_centre):
+        """Return the data centres whose sums listeners were sent."""
+        return {
+            item.data_centre
+            for item in self.server.summaries_by_data_centre[data_centre]
+        }
+
+    def test_data_centres_get_the_sums_of_all_others(self):
+        """Guards against traffic between data centres without use."""
+        self.exchange.exchange()
+        self.assertEqual({'kgn-a', 'kgn-b'}, self.names('kgn-a'))
+        self.assertEqual({'kgn-a'}, self.names('kgn-b'))
+
+    def test_time_on_the_way_counts_as_age(self):
+        """Guards against old sums that look new after a slow path."""
+        self.clock.advance(SECOND / 4)
+        self.exchange.exchange()
+        ages = {
+            item.data_centre: item.age
+            for item in self.server.summaries_by_data_centre['kgn-a']
+        }
+        self.assertAlmostEqual(1.0, ages['kgn-b'])
+        self.clock.advance(SECOND / 2)
+        self.assertNotIn(
+            'kgn-b', self.picture.summaries(self.clock.monotonic())
+        )
+
+    def test_repeated_sum_is_not_passed_on(self):
+        """Guards against messages that go round between hosts."""
+        self.exchange.exchange()
+        self.receive(data_centre='kgn-b')
+        self.exchange.exchange()
+        self.assertNotIn('kgn-b', self.names('kgn-a'))
+
+
+class CoreTest(unittest.TestCase):
+    """What the core counts for the reports."""
+
+    def setUp(self):
+        self.core = forwarder_builders.core(
+            directory_builders.new_directory(
+                directory_builders.upstream_entry('desk-1')
+            )
+        )
+        self.core.load_collector.take_report(0 * SECOND)
+        self.core.handle(
+            b'', forwarder_builders.packet(opens=True), 0 * SECOND
+        )
+
+    def take(self):
+        """Return the report of the core."""
+        return self.core.load_collector.take_report(SECOND)
+
+    def test_repeated_opening_counts_once_in_the_demand(self):
+        """Guards against demand that grows when upstreams are silent."""
+        self.core.retry_openings(SECOND / 10)
+        taken = self.take()
+        (load,) = taken.upstreams
+        self.assertEqual((2, 1), (load.openings, load.unanswered))
+        self.assertEqual([1], [item.openings for item in taken.demands])
+
+    def test_response_that_ends_the_flow_is_an_answer(self):
+        """Guards against rejections that are missed as upstreams close."""
+        address = forwarder_builders.ADDRESS
+        token = self.core._directory.token_of(address, 'desk-1')
+        for fields in (
+            {'length': 9, 'acknowledged': 1},
+            {'ends': True, 'acknowledged': 150},
+        ):
+            packet = forwarder_builders.packet(token=token, **fields)
+            self.core.handle(b'', packet, SECOND / 10)
+        (load,) = self.take().upstreams
+        self.assertEqual((1, 1), (load.started, load.finished))
+        self.assertEqual((0, 0), (load.in_progress, load.open_flows))
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/acaciamoor/load_reports/tests/traffic.py
+++ b/acaciamoor/load/report_traffic.py
@@ -1,6 +1,6 @@
 """Messages and bytes of load reports, computed from encoded sizes.
 
-``python -m acaciamoor.load_reports.tests.traffic`` prints the table of
+``python -m acaciamoor.load.report_traffic`` prints the table of
 docs/design/load-reports.md.
 """
 
@@ -25,7 +25,9 @@
 HEADINGS = ('listener', 'branch', 'first host', 'relay of the site')
 
 
-def make_loads(upstreams, requests, random_source):
+def make_loads(
+    upstreams: int, requests: int, random_source: random.Random
+) -> list[load_reports.UpstreamLoad]:
     """Return loads of the upstreams that the requests of an interval use."""
     started = [0] * upstreams
     for _ in range(requests):
@@ -47,7 +49,7 @@
     ]
 
 
-def make_demands(requests):
+def make_demands(requests: int) -> list[load_reports.ServiceDemand]:
     """Return demands of all services and priorities."""
     keys = [(s, p) for s in range(SERVICES) for p in range(PRIORITIES)]
     return [
@@ -58,16 +60,26 @@
     ]
 
 
-def encode(message_type, body):
+def encode(
+    message_type: type[replica.Report] | type[replica.Summary], body: object
+) -> int:
     """Return the size of a message on the wire, without TCP and IP."""
     raw = msgspec.Raw(msgspec.msgpack.encode(body))
     return len(replica.MessageCodec().encode(message_type(raw, 12345.678)))
 
 
 class Sizes:
-    """Sizes of the messages of a site, in bytes, and its pace."""
+    """Sizes of the messages of a site, in bytes, and its pace.
 
-    def __init__(self, hosts, upstreams, data_centres):
+    Parameters
+    ----------
+    hosts, upstreams : int
+        Hosts and upstreams of each data centre.
+    data_centres : int
+        Data centres of the site.
+    """
+
+    def __init__(self, hosts: int, upstreams: int, data_centres: int) -> None:
         source = random.Random(1)
         self.hosts = hosts
         self.data_centres = data_centres
@@ -79,7 +91,7 @@
         )
         seconds = self.pace.interval.total_seconds()
 
-        def report(count):
+        def report(count: int) -> load_reports.HostReport:
             requests = int(OPENINGS_PER_S * seconds * count)
             loads = make_loads(upstreams, requests, source)
             return load_reports.limit_report(
@@ -156,7 +168,7 @@
                 ],
             )
 
-    def rates(self):
+    def rates(self) -> tuple[tuple[float, float] | None, ...]:
         """Return messages and bytes a second, sent and received, by role.
 
         A report or summary is counted once at its sender and once at its
@@ -197,7 +209,7 @@
         return listener, branch, first, relay
 
 
-def main():
+def main() -> None:
     """Print the table."""
     for site in SITES:
         sizes = Sizes(*site)
--- a/acaciamoor/load_reports/tests/test_traffic.py
+++ b/acaciamoor/load_reports/tests/test_traffic.py
@@ -4,9 +4,9 @@
 import unittest
 
 from acaciamoor import load_reports
+from acaciamoor.load import report_traffic
 from acaciamoor.load_reports import pace
 from acaciamoor.load_reports.tests import builders
-from acaciamoor.load_reports.tests import traffic
 
 # Bytes a second for the control of a host at 11,000 hosts; see docs/parts.md.
 BUDGET_BYTES_PER_S = 9000
@@ -17,21 +17,21 @@
 class TrafficTest(unittest.TestCase):
     def test_listener_stays_within_its_budget_at_11_000_hosts(self):
         """Guards against reports that grow with the size of a site."""
-        listener, *_ = traffic.Sizes(367, 2333, 30).rates()
+        listener, *_ = report_traffic.Sizes(367, 2333, 30).rates()
         self.assertLess(
             listener[1], BUDGET_BYTES_PER_S - HEARTBEAT_BYTES_PER_S
         )
 
     def test_sizes_that_limit_messages_are_not_too_small(self):
         """Guards against limits in upstreams that allow too many bytes."""
-        sizes = traffic.Sizes(367, 2333, 30)
+        sizes = report_traffic.Sizes(367, 2333, 30)
         seconds = sizes.pace.interval.total_seconds()
         self.assertLessEqual(sizes.summary, pace.SUMMARY_BYTES_PER_S * seconds)
         self.assertLessEqual(sizes.report, pace.REPORT_BYTES_PER_S * seconds)
 
     def test_idle_host_sends_a_small_report(self):
         """Guards against reports that name idle upstreams or services."""
-        self.assertLess(traffic.Sizes(75, 300, 1).idle, 100)
+        self.assertLess(report_traffic.Sizes(75, 300, 1).idle, 100)
 
     def test_request_costs_a_host_little(self):
         """Guards against counts that slow down the path of packets."""
