--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -59,6 +59,8 @@
         self._clock = clock
         self._codec = replicas.MessageCodec()
         self._delays = replicas.DelayEstimator()
+        # More frequent messages would shorten the time that `_delays` covers.
+        self._summary_delays = replicas.DelayEstimator()
         self._writer: asyncio.StreamWriter | None = None
         # Time that this host has waited for messages since the last one that
         # was no summary of loads, in seconds.
@@ -156,11 +158,14 @@
         message = self._codec.decode(b''.join(chunks))
         received_at = self._clock.monotonic()
         delay = received_at - began_at
-        if not isinstance(message, replicas.Summary):
+        delays = self._delays
+        if isinstance(message, replicas.Summary):
+            delays = self._summary_delays
+        else:
             self._waited_s = 0.0
         if isinstance(
             message, replicas.Beat | replicas.Update | replicas.Summary
         ):
             sent_at = datetime.timedelta(seconds=message.sent_at)
-            delay = max(delay, self._delays.record(sent_at, received_at))
+            delay = max(delay, delays.record(sent_at, received_at))
         return message, delay
