--- a/acaciamoor/load_reports/pace.py
+++ b/acaciamoor/load_reports/pace.py
@@ -28,7 +28,8 @@
 SUMMARY_BYTES_PER_S = 3000
 FOREIGN_BYTES_PER_S = 1500
 # Encoded size of an upstream, and that of all other fields of a message with
-# 12 demands, in bytes and compressed; checked by load/tests/test_report_traffic.py.
+# 12 demands, in bytes and compressed; load/tests/test_report_traffic.py
+# checks them.
 UPSTREAM_BYTES = 10
 FIXED_BYTES = 230
 # Interval between two summaries of another data centre that are passed on,
