--- a/acaciamoor/load_reports/pace.py
+++ b/acaciamoor/load_reports/pace.py
@@ -21,9 +21,10 @@
 # Hosts of a data centre above which the size of messages is limited. Below
 # it, sites are too small for the budget of 9 KB/s at 11,000 hosts.
 MAX_UNLIMITED_HOSTS = 128
-# Bytes a second for a host above that: the budget of 9 KB/s less about 3 KB/s
-# for heartbeats and changes. Its own reports take a part, and the summary of
-# its data centre and those of all others take the rest.
+# Bytes a second for a host above that, of the budget of 9 KB/s: for its own
+# reports, for the summary of its data centre, and for the upstreams of all
+# others. Demands of 30 data centres take another 2 to 4 KB/s, and heartbeats
+# less than 1 KB/s.
 REPORT_BYTES_PER_S = 1500
 SUMMARY_BYTES_PER_S = 3000
 FOREIGN_BYTES_PER_S = 1500
@@ -32,11 +33,10 @@
 # checks them.
 UPSTREAM_BYTES = 10
 FIXED_BYTES = 230
-# Interval between two summaries of another data centre that are passed on,
-# for each data centre beyond two; and its maximum, which leaves 0.9 s of the
-# 1.5 s for the way: three intervals.
-_FOREIGN_INTERVAL_STEP = datetime.timedelta(milliseconds=50)
-_MAX_FOREIGN_INTERVAL = datetime.timedelta(milliseconds=600)
+# Data centres above which sums go to other data centres at every second
+# interval: traffic between them grows with the square of their number. At the
+# longest interval this leaves 0.9 s of the 1.5 s for the way.
+_MAX_DATA_CENTRES_AT_FULL_PACE = 4
 
 
 class Pace(msgspec.Struct, frozen=True):
@@ -47,7 +47,7 @@
     interval : datetime.timedelta
         Interval between reports, and between summaries.
     foreign_interval : datetime.timedelta
-        Minimum interval between summaries of another data centre.
+        Interval between summaries for other data centres.
     report_upstreams : int
         Upstreams in a report, for each of its hosts.
     summary_upstreams : int
@@ -82,10 +82,9 @@
         """
         interval = MIN_INTERVAL * hosts / _HOSTS_AT_MIN_INTERVAL
         interval = min(max(interval, MIN_INTERVAL), MAX_INTERVAL)
-        foreign_interval = min(
-            interval + _FOREIGN_INTERVAL_STEP * max(0, data_centres - 2),
-            _MAX_FOREIGN_INTERVAL,
-        )
+        foreign_interval = interval
+        if data_centres > _MAX_DATA_CENTRES_AT_FULL_PACE:
+            foreign_interval = 2 * interval
         if hosts <= MAX_UNLIMITED_HOSTS:
             return cls(interval, foreign_interval)
         foreign_bytes_per_s = FOREIGN_BYTES_PER_S / max(1, data_centres - 1)
