--- a/acaciamoor/forwarder/tests/test_relay.py
+++ b/acaciamoor/forwarder/tests/test_relay.py
@@ -31,7 +31,9 @@
         cls.addClassCleanup(asyncio.set_event_loop_policy, previous)
 
 
-class RelayTest(UvloopTestCase):
+class RelayTestCase(UvloopTestCase):
+    """Base class of tests with a relay and its listeners."""
+
     async def asyncSetUp(self):
         self.source = builders.new_replica(5, builders.put('a', 3, x=1))
         self.address = site.find_free_address()
@@ -50,7 +52,7 @@
         messages: asyncio.Queue[replica.Message] = asyncio.Queue()
         peer = replica.Peer('relay', 'kgn-a', self.address)
         own = replica.Peer(own_id, 'kgn-a', model.Address('127.0.0.1', 1))
-        link = relay_link.RelayLink(
+        self.link = relay_link.RelayLink(
             own,
             peer,
             {KIND: target},
@@ -58,8 +60,10 @@
             lambda: 0,
             clock.SystemClock(),
         )
-        return messages, asyncio.create_task(link.run())
+        return messages, asyncio.create_task(self.link.run())
+
 
+class RelayTest(RelayTestCase):
     async def test_listener_gets_a_snapshot_and_then_changes(self):
         """Guards against a listener without the earlier objects."""
         target = replica.Replica(KIND)
--- a/acaciamoor/load_reports/report.py
+++ b/acaciamoor/load_reports/report.py
@@ -6,6 +6,8 @@
 
 # Counts and levels above this one cannot be true.
 MAX_COUNT = 1 << 31
+# Fractions of a second in which times are reported.
+_FRACTIONS = 1024
 # Upstreams in one report; a host that saw more reports the busiest ones.
 MAX_UPSTREAMS = 4096
 
@@ -16,6 +18,20 @@
             raise ValueError(f'{number} is out of range')
 
 
+def round_seconds(seconds: float) -> float:
+    """Return a time rounded to 1/1024 s, and limited to the valid range.
+
+    A random float does not compress; one with a short binary fraction takes
+    two or three bytes of a message.
+
+    Examples
+    --------
+    >>> round_seconds(0.0500123)
+    0.0498046875
+    """
+    return min(round(seconds * _FRACTIONS) / _FRACTIONS, float(MAX_COUNT))
+
+
 class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
     """Load of an upstream, as one host or several hosts together saw it.
 
@@ -57,6 +73,23 @@
             self.unanswered,
         )
 
+    def plus(self, other: 'UpstreamLoad') -> 'UpstreamLoad':
+        """Return the sum of two loads of the upstream.
+
+        Sums stay within the range of a report, as they are sent on.
+        """
+        return UpstreamLoad(
+            self.upstream_id,
+            min(self.in_progress + other.in_progress, MAX_COUNT),
+            min(self.open_flows + other.open_flows, MAX_COUNT),
+            min(self.started + other.started, MAX_COUNT),
+            min(self.finished + other.finished, MAX_COUNT),
+            min(self.busy_seconds + other.busy_seconds, float(MAX_COUNT)),
+            min(self.rejected + other.rejected, MAX_COUNT),
+            min(self.openings + other.openings, MAX_COUNT),
+            min(self.unanswered + other.unanswered, MAX_COUNT),
+        )
+
 
 class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
     """New flows for a service over routes of one priority.
@@ -80,7 +113,7 @@
         _check_numbers(self.openings, self.refused)
 
 
-class HostReport(msgspec.Struct, frozen=True):
+class HostReport(msgspec.Struct, frozen=True, array_like=True):
     """What passed one host in an interval.
 
     Parameters
@@ -97,6 +130,11 @@
         Load by upstream, without idle ones.
     demands : list of ServiceDemand
         New flows by service and priority.
+    hosts : int
+        Number of hosts whose reports it contains; more than one if a branch
+        has summed the reports of its listeners.
+    age : float
+        Time since the reports were taken, in seconds, when it was sent.
     """
 
     host_id: str
@@ -106,16 +144,18 @@
     interval: float
     upstreams: list[UpstreamLoad] = []
     demands: list[ServiceDemand] = []
+    hosts: int = 1
+    age: float = 0.0
 
     def __post_init__(self) -> None:
-        _check_numbers(self.interval)
+        _check_numbers(self.interval, self.hosts, self.age)
         if len(self.upstreams) > MAX_UPSTREAMS:
             raise ValueError(
                 f'a report of {len(self.upstreams)} upstreams is too large'
             )
 
 
-class LoadSummary(msgspec.Struct, frozen=True):
+class LoadSummary(msgspec.Struct, frozen=True, array_like=True):
     """Sum of the reports of the hosts of a data centre.
 
     Parameters
@@ -152,3 +192,7 @@
 
     def __post_init__(self) -> None:
         _check_numbers(self.hosts, self.age, self.interval)
+        if len(self.upstreams) > MAX_UPSTREAMS:
+            raise ValueError(
+                f'a summary of {len(self.upstreams)} upstreams is too large'
+            )
--- a/acaciamoor/replica/messages.py
+++ b/acaciamoor/replica/messages.py
@@ -21,12 +21,15 @@
 _LENGTH = struct.Struct('!I')
 # Version of the messages and of what their fields mean. Hosts of another one
 # call the store themselves.
-PROTOCOL = 2
+PROTOCOL = 3
 # Many times the present size of a whole collection.
 MAX_MESSAGE_BYTES = 16 << 20
 # Messages above this size are compressed, to about an eighth. Hosts that start
 # together each get whole collections, also over narrow links.
 _MIN_COMPRESSED_BYTES = 4096
+# The same for reports and summaries, which are sent several times a second.
+# Smaller ones would hardly shrink.
+_MIN_COMPRESSED_LOAD_BYTES = 512
 _COMPRESSION_LEVEL = 1
 _SECOND = datetime.timedelta(seconds=1)
 # Terabit links do not exist yet; a wider one is an error.
@@ -225,13 +228,39 @@
         )
 
 
+class Report(msgspec.Struct, tag=True, frozen=True):
+    """Load that a listener reports, or the sum of its listeners' reports.
+
+    The body is not decoded with the message: one that is malformed is refused
+    without the loss of the connection, which carries the collections.
+    """
+
+    body: msgspec.Raw
+    # By the monotonic clock of the sender, in seconds.
+    sent_at: float
+
+    def __post_init__(self) -> None:
+        _check_clock(self.sent_at)
+
+
+class Summary(msgspec.Struct, tag=True, frozen=True):
+    """Sums of the reports of data centres; see `Report` on the body."""
+
+    body: msgspec.Raw
+    # By the monotonic clock of the sender, in seconds.
+    sent_at: float
+
+    def __post_init__(self) -> None:
+        _check_clock(self.sent_at)
+
+
 class Compressed(msgspec.Struct, tag=True, frozen=True):
     """Another message, compressed."""
 
     body: bytes
 
 
-Message = Hello | Beat | Peers | Update
+Message = Hello | Beat | Peers | Update | Report | Summary
 
 
 class MessageCodec:
@@ -254,7 +283,10 @@
     def encode(self, message: Message) -> bytes:
         """Return an encoded message, prefixed with its length."""
         body = self._encoder.encode(message)
-        if len(body) >= _MIN_COMPRESSED_BYTES:
+        min_bytes = _MIN_COMPRESSED_BYTES
+        if isinstance(message, Report | Summary):
+            min_bytes = _MIN_COMPRESSED_LOAD_BYTES
+        if len(body) >= min_bytes:
             compressed = zlib.compress(body, _COMPRESSION_LEVEL)
             body = self._encoder.encode(Compressed(compressed))
         return _LENGTH.pack(len(body)) + body
