--- /dev/null
+++ b/acaciamoor/openings/shared_load.py
@@ -0,0 +1,519 @@
+"""Choice of upstreams by the load that all hosts share.
+
+All hosts have the same picture, which is 100 to 400 ms old, so each of them
+draws upstreams at random. If all took the best one, they would fill it before
+the next summary shows it.
+"""
+
+import bisect
+import collections
+import collections.abc
+import datetime
+import itertools
+import math
+import random
+
+from acaciamoor import capacity as capacities
+from acaciamoor import directory
+from acaciamoor import load_reports
+from acaciamoor import model
+
+# Time constant of the averages of levels and demands. A snapshot of the
+# requests in progress holds for about 50 ms, less than its age.
+_AVERAGING_TIME = datetime.timedelta(milliseconds=600)
+# Weight of the load that open flows cause on average, beside that of their
+# requests in progress. Flows stay at their upstream, and one that happens to
+# be idle has no request in progress.
+_FLOW_WEIGHT = 0.5
+# Draws from a pool before all candidates are compared. Where half of them are
+# suspected or were tried, six draws find two others with 0.89.
+_MAX_DRAWS = 6
+# A service that has not been asked for is forgotten after this time.
+_RETENTION = datetime.timedelta(seconds=60)
+_SECOND = datetime.timedelta(seconds=1)
+
+ChangeHandler = collections.abc.Callable[
+    [model.UpstreamId, capacities.Capacity, capacities.Capacity], None
+]
+
+
+class SharedCosts:
+    """Costs of the choice; see `placer.PlacementSettings`.
+
+    Parameters
+    ----------
+    remote : float
+        Cost of another data centre, in requests per slot.
+    spill_over_load : float
+        Share of the local capacity above which flows go elsewhere.
+    """
+
+    __slots__ = ('remote', 'spill_over_load')
+
+    def __init__(self, remote: float, spill_over_load: float) -> None:
+        self.remote = remote
+        self.spill_over_load = spill_over_load
+
+
+class _Pool:
+    """Upstreams to draw from, in proportion to their weights."""
+
+    __slots__ = ('_cumulative', '_numbers')
+
+    def __init__(self, weights_by_number: dict[int, float]) -> None:
+        self._numbers = list(weights_by_number)
+        self._cumulative = list(
+            itertools.accumulate(weights_by_number.values())
+        )
+
+    def __bool__(self) -> bool:
+        return bool(self._cumulative) and self._cumulative[-1] > 0.0
+
+    def draw(self, random_source: random.Random) -> int:
+        point = random_source.random() * self._cumulative[-1]
+        number = bisect.bisect_right(self._cumulative, point)
+        return self._numbers[min(number, len(self._numbers) - 1)]
+
+
+class _Average:
+    __slots__ = ('updated_at', 'value')
+
+    def __init__(self, value: float, now: datetime.timedelta) -> None:
+        self.value = value
+        self.updated_at = now
+
+    def add(self, value: float, now: datetime.timedelta) -> float:
+        """Add a value that has held since the last one."""
+        elapsed = max(0.0, (now - self.updated_at) / _AVERAGING_TIME)
+        self.value = value + (self.value - value) * math.exp(-elapsed)
+        self.updated_at = now
+        return self.value
+
+
+class _Table:
+    """What is computed for a service when the picture changes."""
+
+    __slots__ = (
+        'built_at',
+        'candidates',
+        'demands',
+        'limits',
+        'loads',
+        'local',
+        'numbers_by_id',
+        'open_flows',
+        'rates',
+        'remote',
+        'revision',
+        'shares_by_load',
+        'weights',
+    )
+
+    def __init__(
+        self,
+        candidates: list[directory.UpstreamEntry],
+        revision: int,
+        now: datetime.timedelta,
+    ) -> None:
+        self.candidates = candidates
+        self.numbers_by_id = {
+            entry.upstream_id: number
+            for number, entry in enumerate(candidates)
+        }
+        self.revision = revision
+        self.built_at = now
+        # By number of the candidate.
+        self.limits: list[float] = []
+        self.loads: list[float] = []
+        self.open_flows: list[int] = []
+        self.rates: list[float] = []
+        self.weights: list[float] = []
+        self.local = _Pool({})
+        self.remote = _Pool({})
+        # Requests a second by data centre of the callers.
+        self.demands: dict[str, float] = {}
+        self.shares_by_load: dict[float, tuple[float, _Pool]] = {}
+
+
+class SharedLoadChoice:
+    """Chooses upstreams by shared load and measured capacity.
+
+    Parameters
+    ----------
+    data_centre : DataCentre
+        Data centre of this host.
+    picture : LoadPicture
+        Load that all hosts share.
+    estimator : CapacityEstimator
+        Receives the shared load of all candidates.
+    random_source : random.Random
+        Source of the draws.
+    handle_change : callable or None
+        Called when the measured rate of an upstream has changed by more than
+        a factor of two.
+    """
+
+    def __init__(
+        self,
+        data_centre: model.DataCentre,
+        picture: load_reports.LoadPicture,
+        estimator: capacities.CapacityEstimator,
+        random_source: random.Random,
+        handle_change: ChangeHandler | None = None,
+    ) -> None:
+        self._data_centre = data_centre
+        self._picture = picture
+        self._estimator = estimator
+        self._random = random_source
+        self._handle_change = handle_change
+        self._tables_by_service: dict[str, _Table] = {}
+        self._levels_by_id: dict[model.UpstreamId, _Average] = {}
+        self._demands_by_key: dict[tuple[str, str], _Average] = {}
+        self._opened: collections.deque[
+            tuple[datetime.timedelta, model.UpstreamId]
+        ] = collections.deque()
+        self._opened_by_id: collections.Counter[model.UpstreamId] = (
+            collections.Counter()
+        )
+        # Capacity that was last reported as changed.
+        self.capacities_by_id: dict[
+            model.UpstreamId, capacities.Capacity
+        ] = {}
+
+    def is_fresh(self, now: datetime.timedelta) -> bool:
+        """Return whether the picture can be used."""
+        return self._picture.is_fresh(now)
+
+    def is_full(
+        self,
+        upstream_id: model.UpstreamId,
+        max_flows: int,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Return whether an upstream has its maximum number of flows."""
+        load = self._picture.load_of(upstream_id, now)
+        shared = 0 if load is None else load.open_flows
+        return shared + self._opened_by_id[upstream_id] >= max_flows
+
+    def record_opening(
+        self, upstream_id: model.UpstreamId, now: datetime.timedelta
+    ) -> None:
+        """Count a flow that this host opens, until a summary contains it."""
+        self._opened.append((now, upstream_id))
+        self._opened_by_id[upstream_id] += 1
+
+    def forget(self, upstream_id: model.UpstreamId) -> None:
+        """Remove what is known of an upstream that no longer exists."""
+        self._levels_by_id.pop(upstream_id, None)
+        self.capacities_by_id.pop(upstream_id, None)
+        self._estimator.forget(upstream_id)
+
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[directory.UpstreamEntry],
+        costs: SharedCosts,
+        is_avoided: collections.abc.Callable[[model.UpstreamId], bool],
+        max_flows: int,
+        capacity_factor: collections.abc.Callable[
+            [model.UpstreamId], float
+        ],
+        now: datetime.timedelta,
+    ) -> directory.UpstreamEntry | None:
+        """Return the upstream for a new flow; None if all are avoided.
+
+        Parameters
+        ----------
+        candidates : sequence of UpstreamEntry
+            Upstreams of the service that accept new flows.
+        costs : SharedCosts
+            Costs of the choice.
+        is_avoided : callable
+            Whether an upstream is suspected or was already tried.
+        max_flows : int
+            Flows that an upstream holds; 0 if no limit is set.
+        capacity_factor : callable
+            Share of its capacity that an unmeasured upstream has in warm-up.
+        now : datetime.timedelta
+            Current time.
+        """
+        table = self._find_table(candidates, is_avoided, capacity_factor, now)
+        allowed: collections.abc.Container[model.UpstreamId] | None = None
+        if len(candidates) != len(table.candidates):
+            allowed = {entry.upstream_id for entry in candidates}
+
+        def accepts(number: int) -> bool:
+            upstream_id = table.candidates[number].upstream_id
+            return (
+                (allowed is None or upstream_id in allowed)
+                and not is_avoided(upstream_id)
+                and not (
+                    max_flows
+                    and table.open_flows[number]
+                    + self._opened_by_id[upstream_id]
+                    >= max_flows
+                )
+            )
+
+        share, distant = self._spill_over(table, costs.spill_over_load)
+        elsewhere = share > 0.0 and self._random.random() < share
+        if elsewhere:
+            drawn = self._draw(distant or table.remote, 2, accepts)
+        else:
+            drawn = self._draw(table.local, 2, accepts)
+            drawn += self._draw(table.remote, 1, accepts)
+        if not drawn:
+            drawn = [
+                number
+                for number in range(len(table.candidates))
+                if accepts(number)
+            ]
+        if not drawn:
+            return None
+        return table.candidates[
+            min(drawn, key=lambda number: self._rank(table, number, costs))
+        ]
+
+    def _draw(
+        self,
+        pool: _Pool,
+        count: int,
+        accepts: collections.abc.Callable[[int], bool],
+    ) -> list[int]:
+        drawn: list[int] = []
+        if not pool:
+            return drawn
+        for _ in range(_MAX_DRAWS):
+            number = pool.draw(self._random)
+            if number not in drawn and accepts(number):
+                drawn.append(number)
+                if len(drawn) == count:
+                    break
+        return drawn
+
+    def _rank(self, table: _Table, number: int, costs: SharedCosts) -> float:
+        """Return the load with the new flow, in requests per slot."""
+        entry = table.candidates[number]
+        own = self._opened_by_id[entry.upstream_id]
+        rank = (table.loads[number] + own + 1.0) / table.limits[number]
+        if entry.upstream.data_centre != self._data_centre:
+            rank += costs.remote
+        return rank
+
+    def _find_table(
+        self,
+        candidates: collections.abc.Sequence[directory.UpstreamEntry],
+        is_avoided: collections.abc.Callable[[model.UpstreamId], bool],
+        capacity_factor: collections.abc.Callable[
+            [model.UpstreamId], float
+        ],
+        now: datetime.timedelta,
+    ) -> _Table:
+        service = candidates[0].service
+        table = self._tables_by_service.get(service)
+        if table is not None:
+            # Summaries of other data centres are taken in with the next one
+            # of the own data centre.
+            current = (
+                table.revision == self._picture.revision
+                or now - table.built_at < self._picture.interval
+            )
+            known = table.numbers_by_id
+            if current and (
+                table.candidates == candidates
+                or all(entry.upstream_id in known for entry in candidates)
+            ):
+                return table
+        new = _Table(list(candidates), self._picture.revision, now)
+        self._fill(
+            new,
+            service,
+            table is None or table.revision != new.revision,
+            is_avoided,
+            capacity_factor,
+            now,
+        )
+        self._tables_by_service[service] = new
+        return new
+
+    def _fill(
+        self,
+        table: _Table,
+        service: str,
+        changed: bool,
+        is_avoided: collections.abc.Callable[[model.UpstreamId], bool],
+        capacity_factor: collections.abc.Callable[
+            [model.UpstreamId], float
+        ],
+        now: datetime.timedelta,
+    ) -> None:
+        self._discard_old_openings(now)
+        interval = self._picture.interval / _SECOND
+        loads = [
+            self._picture.load_of(entry.upstream_id, now)
+            or load_reports.UpstreamLoad(entry.upstream_id)
+            for entry in table.candidates
+        ]
+        if changed:
+            for entry, load in zip(table.candidates, loads, strict=True):
+                self._estimator.update(
+                    entry.upstream_id,
+                    entry.upstream.slots,
+                    capacities.CapacitySample(
+                        interval,
+                        load.in_progress,
+                        load.finished,
+                        load.busy_seconds,
+                    ),
+                    now,
+                    service,
+                )
+        flows = sum(load.open_flows for load in loads)
+        finished = sum(load.finished for load in loads)
+        request_rate = finished / flows / interval if flows else 0.0
+        local: dict[int, float] = {}
+        remote: dict[int, float] = {}
+        for number, (entry, load) in enumerate(
+            zip(table.candidates, loads, strict=True)
+        ):
+            upstream_id = entry.upstream_id
+            found = self._estimator.estimate(upstream_id, now)
+            self._note_change(upstream_id, found)
+            factor = 1.0 if found.known else capacity_factor(upstream_id)
+            limit, rate = found.limit * factor, found.rate * factor
+            level = self._average_level(upstream_id, load.in_progress, now)
+            if found.service_time:
+                expected = load.open_flows * request_rate * limit / rate
+                level += _FLOW_WEIGHT * (expected - level)
+            weight = rate * max(0.0, 1.0 - level / limit)
+            table.limits.append(limit)
+            table.rates.append(rate)
+            table.loads.append(level)
+            table.open_flows.append(load.open_flows)
+            table.weights.append(weight)
+            is_local = entry.upstream.data_centre == self._data_centre
+            (local if is_local else remote)[number] = (
+                0.0 if is_avoided(upstream_id) else weight
+            )
+        table.local = _make_pool(table, local)
+        table.remote = _make_pool(table, remote)
+        if changed:
+            self._update_demands(table, service, now)
+        table.demands = {
+            data_centre: average.value
+            for (name, data_centre), average in self._demands_by_key.items()
+            if name == service
+            and now - average.updated_at < _RETENTION
+        }
+
+    def _discard_old_openings(self, now: datetime.timedelta) -> None:
+        age = self._picture.age(now)
+        if age is None:
+            return
+        opened = self._opened
+        while opened and opened[0][0] < now - age:
+            _, upstream_id = opened.popleft()
+            self._opened_by_id[upstream_id] -= 1
+            if self._opened_by_id[upstream_id] <= 0:
+                del self._opened_by_id[upstream_id]
+
+    def _average_level(
+        self,
+        upstream_id: model.UpstreamId,
+        in_progress: int,
+        now: datetime.timedelta,
+    ) -> float:
+        average = self._levels_by_id.get(upstream_id)
+        if average is None:
+            average = _Average(float(in_progress), now)
+            self._levels_by_id[upstream_id] = average
+        return average.add(float(in_progress), now)
+
+    def _note_change(
+        self, upstream_id: model.UpstreamId, found: capacities.Capacity
+    ) -> None:
+        before = self.capacities_by_id.get(upstream_id)
+        if before is None or not before.known:
+            self.capacities_by_id[upstream_id] = found
+        elif found.known and not (
+            before.rate / 2 <= found.rate <= before.rate * 2
+        ):
+            self.capacities_by_id[upstream_id] = found
+            if self._handle_change is not None:
+                self._handle_change(upstream_id, before, found)
+
+    def _update_demands(
+        self, table: _Table, service: str, now: datetime.timedelta
+    ) -> None:
+        for data_centre, summary in self._picture.summaries(now).items():
+            if summary.interval <= 0.0:
+                continue
+            rate = (
+                sum(
+                    load.started
+                    for load in summary.upstreams
+                    if load.upstream_id in table.numbers_by_id
+                )
+                / summary.interval
+            )
+            key = (service, data_centre)
+            average = self._demands_by_key.get(key)
+            if average is None:
+                self._demands_by_key[key] = _Average(rate, now)
+            else:
+                average.add(rate, now)
+
+    def _spill_over(
+        self, table: _Table, spill_over_load: float
+    ) -> tuple[float, _Pool]:
+        """Return the share of flows that go elsewhere, and to where.
+
+        Demand above `spill_over_load` of the capacity of a data centre goes
+        to those that are below it. If all are above it together, the common
+        load of all data centres takes its place.
+        """
+        found = table.shares_by_load.get(spill_over_load)
+        if found is None:
+            found = self._find_spill_over(table, spill_over_load)
+            table.shares_by_load[spill_over_load] = found
+        return found
+
+    def _find_spill_over(
+        self, table: _Table, spill_over_load: float
+    ) -> tuple[float, _Pool]:
+        rates: collections.Counter[str] = collections.Counter()
+        for entry, rate in zip(table.candidates, table.rates, strict=True):
+            rates[entry.upstream.data_centre] += rate
+        own = rates[self._data_centre]
+        if not own:
+            return 1.0, table.remote
+        demand = table.demands.get(self._data_centre, 0.0)
+        level = max(
+            spill_over_load, sum(table.demands.values()) / rates.total()
+        )
+        if demand <= level * own:
+            return 0.0, table.remote
+        free_shares = {
+            data_centre: max(
+                0.0, level - table.demands.get(data_centre, 0.0) / rate
+            )
+            for data_centre, rate in rates.items()
+            if data_centre != self._data_centre
+        }
+        pool = _Pool(
+            {
+                number: rate
+                * free_shares[table.candidates[number].upstream.data_centre]
+                for number, rate in enumerate(table.rates)
+                if table.candidates[number].upstream.data_centre
+                != self._data_centre
+            }
+        )
+        return (1.0 - level * own / demand) if pool else 0.0, pool
+
+
+def _make_pool(table: _Table, weights_by_number: dict[int, float]) -> _Pool:
+    """Return a pool; in proportion to rates where no upstream has room."""
+    pool = _Pool(weights_by_number)
+    if pool:
+        return pool
+    return _Pool({number: table.rates[number] for number in weights_by_number})
