--- a/acaciamoor/capacity/concurrency.py
+++ b/acaciamoor/capacity/concurrency.py
@@ -96,6 +96,8 @@
                 for item in points[number + 1 :]
                 if item[0] >= _MORE_BUSY * busy
             ]
-            if above and all(item[1] <= _MORE_ANSWERS * rate for item in above):
+            if above and all(
+                item[1] <= _MORE_ANSWERS * rate for item in above
+            ):
                 return busy, rate
         return None
--- a/acaciamoor/capacity/estimator.py
+++ b/acaciamoor/capacity/estimator.py
@@ -238,9 +238,7 @@
         if record.answers <= answers or record.seconds <= seconds:
             return
         expected = (
-            seconds
-            * (record.answers - answers)
-            / (record.seconds - seconds)
+            seconds * (record.answers - answers) / (record.seconds - seconds)
         )
         if expected <= 0.0:
             return
--- a/acaciamoor/openings/flow_tracker.py
+++ b/acaciamoor/openings/flow_tracker.py
@@ -126,7 +126,10 @@
     ) -> None:
         """Remove a flow and end its request, if one is in progress."""
         flow = self._flows_by_key.pop(key, None)
-        if flow is not None and flow.busy:
+        if flow is None:
+            return
+        self._load_tracker.end_flow(flow.upstream_id)
+        if flow.busy:
             self._load_tracker.end_request(flow.upstream_id, now)
 
     def expire(
@@ -155,6 +158,7 @@
             self.record_end(next(iter(self._flows_by_key)), now)
         flow = TrackedFlow(upstream_id, service, acknowledged)
         self._flows_by_key[key] = flow
+        self._load_tracker.begin_flow(upstream_id)
         return flow
 
 
--- a/acaciamoor/openings/load.py
+++ b/acaciamoor/openings/load.py
@@ -1,5 +1,6 @@
 """Load of upstreams, estimated from the requests that pass this host."""
 
+import collections
 import datetime
 import math
 
@@ -68,6 +69,23 @@
     ) -> None:
         self._averaging_time = averaging_time
         self._loads_by_id: dict[model.UpstreamId, _Load] = {}
+        self._flows_by_id: collections.Counter[model.UpstreamId] = (
+            collections.Counter()
+        )
+
+    def begin_flow(self, upstream_id: model.UpstreamId) -> None:
+        """Record an open flow of an upstream."""
+        self._flows_by_id[upstream_id] += 1
+
+    def end_flow(self, upstream_id: model.UpstreamId) -> None:
+        """Record that a flow of an upstream has ended."""
+        self._flows_by_id[upstream_id] -= 1
+        if self._flows_by_id[upstream_id] <= 0:
+            del self._flows_by_id[upstream_id]
+
+    def count_flows(self, upstream_id: model.UpstreamId) -> int:
+        """Return the number of open flows of an upstream."""
+        return self._flows_by_id[upstream_id]
 
     def begin_request(
         self, upstream_id: model.UpstreamId, now: datetime.timedelta
--- a/acaciamoor/openings/placer.py
+++ b/acaciamoor/openings/placer.py
@@ -6,10 +6,13 @@
 
 import msgspec
 
+from acaciamoor import capacity as capacities
 from acaciamoor import directory
+from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor.openings import failure_detector as detectors
 from acaciamoor.openings import load as loads
+from acaciamoor.openings import shared_load
 
 _ZERO = datetime.timedelta(0)
 
@@ -58,6 +61,9 @@
     centre, so the demand of its callers is about the number of hosts times
     what this one sees, whichever upstreams serve it.
 
+    While the picture of the load that hosts share is fresh, the choice uses it
+    instead; see `shared_load`.
+
     Parameters
     ----------
     data_centre : DataCentre
@@ -73,11 +79,18 @@
         upstreams.
     settings : PlacementSettings
         Cost parameters of the selection.
+    picture : LoadPicture or None
+        Load that all hosts share; None if they do not.
+    handle_change : callable or None
+        Called when the measured rate of an upstream has changed by more than
+        a factor of two.
 
     Attributes
     ----------
     local_hosts : int
         Hosts of the data centre that receive packets.
+    estimator : CapacityEstimator
+        Measured capacity of upstreams; empty without a picture.
     """
 
     def __init__(
@@ -88,6 +101,8 @@
         failure_detector: detectors.FailureDetector,
         random_source: random.Random,
         settings: PlacementSettings | None = None,
+        picture: load_reports.LoadPicture | None = None,
+        handle_change: shared_load.ChangeHandler | None = None,
     ) -> None:
         self._data_centre = data_centre
         self.local_hosts = 1
@@ -95,8 +110,36 @@
         self._demand_tracker = demand_tracker
         self._failure_detector = failure_detector
         self._random = random_source
-        self._settings = settings or PlacementSettings()
+        self._settings = settings = settings or PlacementSettings()
+        usual_costs = shared_load.SharedCosts(
+            settings.remote_cost, settings.spill_over_load
+        )
+        self._shared_costs = dict.fromkeys(directory.RequestKind, usual_costs)
+        self._shared_costs[directory.RequestKind.UPLOAD] = (
+            shared_load.SharedCosts(
+                settings.remote_upload_cost, settings.upload_spill_over_load
+            )
+        )
         self._warm_at_by_id: dict[model.UpstreamId, datetime.timedelta] = {}
+        self.estimator = capacities.CapacityEstimator()
+        self._shared: shared_load.SharedLoadChoice | None = None
+        if picture is not None:
+            self._shared = shared_load.SharedLoadChoice(
+                data_centre,
+                picture,
+                self.estimator,
+                failure_detector,
+                self._capacity_factor,
+                random_source,
+                handle_change,
+            )
+
+    @property
+    def capacities_by_id(
+        self,
+    ) -> collections.abc.Mapping[model.UpstreamId, capacities.Capacity]:
+        """Measured capacity of the upstreams in the picture."""
+        return {} if self._shared is None else self._shared.capacities_by_id
 
     def set_warm_up(
         self,
@@ -113,6 +156,8 @@
     def forget(self, upstream_id: model.UpstreamId) -> None:
         """Remove the warm-up of an upstream that no longer exists."""
         self._warm_at_by_id.pop(upstream_id, None)
+        if self._shared is not None:
+            self._shared.forget(upstream_id)
 
     def choose(
         self,
@@ -120,6 +165,7 @@
         kind: directory.RequestKind,
         excluded: collections.abc.Container[model.UpstreamId],
         now: datetime.timedelta,
+        max_flows: int = 0,
     ) -> directory.UpstreamEntry | None:
         """Return the upstream for a new flow; None without candidates.
 
@@ -134,7 +180,60 @@
             only if there is no other candidate.
         now : datetime.timedelta
             Current time.
+        max_flows : int
+            Open flows that an upstream of the service holds; none is opened
+            at one that has as many. 0 if no limit is set.
+        """
+        shared = self._shared
+        if shared is None or not shared.is_fresh(now):
+            return self._choose_alone(
+                self._below(candidates, max_flows), kind, excluded, now
+            )
+        if not candidates:
+            return None
+        chosen = shared.choose(
+            candidates, self._shared_costs[kind], excluded, max_flows, now
+        )
+        if chosen is None:
+            # Only those are left that were tried or that are suspected.
+            if max_flows:
+                candidates = [
+                    entry
+                    for entry in candidates
+                    if not shared.is_full(entry.upstream_id, max_flows, now)
+                ]
+            chosen = self._choose_alone(candidates, kind, excluded, now)
+        if chosen is not None:
+            shared.record_opening(chosen.upstream_id, now)
+        return chosen
+
+    def _below(
+        self,
+        candidates: collections.abc.Sequence[directory.UpstreamEntry],
+        max_flows: int,
+    ) -> collections.abc.Sequence[directory.UpstreamEntry]:
+        """Return the candidates below the limit, as far as this host knows.
+
+        The fabric spreads flows evenly, so the other hosts have about as many
+        flows at an upstream as this one.
         """
+        if not max_flows:
+            return candidates
+        count_flows = self._load_tracker.count_flows
+        return [
+            entry
+            for entry in candidates
+            if count_flows(entry.upstream_id) * self.local_hosts < max_flows
+        ]
+
+    def _choose_alone(
+        self,
+        candidates: collections.abc.Sequence[directory.UpstreamEntry],
+        kind: directory.RequestKind,
+        excluded: collections.abc.Container[model.UpstreamId],
+        now: datetime.timedelta,
+    ) -> directory.UpstreamEntry | None:
+        """Return the upstream with the least load that this host sees."""
         best = None
         best_rank = (True, True, True, 0.0)
         elsewhere = self._spills_over(candidates, kind, now)
@@ -191,12 +290,17 @@
         self, entry: directory.UpstreamEntry, now: datetime.timedelta
     ) -> float:
         capacity = float(max(1, entry.upstream.slots))
-        warm_at = self._warm_at_by_id.get(entry.upstream_id)
+        return capacity * self._capacity_factor(entry.upstream_id, now)
+
+    def _capacity_factor(
+        self, upstream_id: model.UpstreamId, now: datetime.timedelta
+    ) -> float:
+        warm_at = self._warm_at_by_id.get(upstream_id)
         if warm_at is not None:
             if now < warm_at:
-                return capacity * self._settings.warm_up_capacity_factor
-            del self._warm_at_by_id[entry.upstream_id]
-        return capacity
+                return self._settings.warm_up_capacity_factor
+            del self._warm_at_by_id[upstream_id]
+        return 1.0
 
     def _cost(
         self,
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -17,6 +17,7 @@
 from acaciamoor import directory
 from acaciamoor import load_reports
 from acaciamoor import model
+from acaciamoor.openings import failure_detector as detectors
 
 # Time constant of the averages of levels and demands. A snapshot of the
 # requests in progress holds for about 50 ms, less than its age.
@@ -35,6 +36,9 @@
 ChangeHandler = collections.abc.Callable[
     [model.UpstreamId, capacities.Capacity, capacities.Capacity], None
 ]
+CapacityFactor = collections.abc.Callable[
+    [model.UpstreamId, datetime.timedelta], float
+]
 
 
 class SharedCosts:
@@ -100,13 +104,13 @@
         'limits',
         'loads',
         'local',
+        'measured',
         'numbers_by_id',
         'open_flows',
         'rates',
         'remote',
         'revision',
         'shares_by_load',
-        'weights',
     )
 
     def __init__(
@@ -127,7 +131,8 @@
         self.loads: list[float] = []
         self.open_flows: list[int] = []
         self.rates: list[float] = []
-        self.weights: list[float] = []
+        # Whether rates are requests a second, and not slots.
+        self.measured = False
         self.local = _Pool({})
         self.remote = _Pool({})
         # Requests a second by data centre of the callers.
@@ -146,6 +151,11 @@
         Load that all hosts share.
     estimator : CapacityEstimator
         Receives the shared load of all candidates.
+    failure_detector : FailureDetector
+        Tells which upstreams are suspected.
+    get_capacity_factor : callable
+        Returns the share of its capacity that an unmeasured upstream has at
+        a time; below 1 in warm-up.
     random_source : random.Random
         Source of the draws.
     handle_change : callable or None
@@ -158,12 +168,16 @@
         data_centre: model.DataCentre,
         picture: load_reports.LoadPicture,
         estimator: capacities.CapacityEstimator,
+        failure_detector: detectors.FailureDetector,
+        get_capacity_factor: CapacityFactor,
         random_source: random.Random,
         handle_change: ChangeHandler | None = None,
     ) -> None:
         self._data_centre = data_centre
         self._picture = picture
         self._estimator = estimator
+        self._failure_detector = failure_detector
+        self._get_capacity_factor = get_capacity_factor
         self._random = random_source
         self._handle_change = handle_change
         self._tables_by_service: dict[str, _Table] = {}
@@ -176,9 +190,7 @@
             collections.Counter()
         )
         # Capacity that was last reported as changed.
-        self.capacities_by_id: dict[
-            model.UpstreamId, capacities.Capacity
-        ] = {}
+        self.capacities_by_id: dict[model.UpstreamId, capacities.Capacity] = {}
 
     def is_fresh(self, now: datetime.timedelta) -> bool:
         """Return whether the picture can be used."""
@@ -212,14 +224,12 @@
         self,
         candidates: collections.abc.Sequence[directory.UpstreamEntry],
         costs: SharedCosts,
-        is_avoided: collections.abc.Callable[[model.UpstreamId], bool],
+        excluded: collections.abc.Container[model.UpstreamId],
         max_flows: int,
-        capacity_factor: collections.abc.Callable[
-            [model.UpstreamId], float
-        ],
         now: datetime.timedelta,
     ) -> directory.UpstreamEntry | None:
-        """Return the upstream for a new flow; None if all are avoided.
+        """Return the upstream for a new flow; None if there is no other than tried,
+        suspected or full ones.
 
         Parameters
         ----------
@@ -227,16 +237,14 @@
             Upstreams of the service that accept new flows.
         costs : SharedCosts
             Costs of the choice.
-        is_avoided : callable
-            Whether an upstream is suspected or was already tried.
+        excluded : container of UpstreamId
+            Upstreams that were already tried for the flow.
         max_flows : int
             Flows that an upstream holds; 0 if no limit is set.
-        capacity_factor : callable
-            Share of its capacity that an unmeasured upstream has in warm-up.
         now : datetime.timedelta
             Current time.
         """
-        table = self._find_table(candidates, is_avoided, capacity_factor, now)
+        table = self._find_table(candidates, now)
         allowed: collections.abc.Container[model.UpstreamId] | None = None
         if len(candidates) != len(table.candidates):
             allowed = {entry.upstream_id for entry in candidates}
@@ -245,7 +253,8 @@
             upstream_id = table.candidates[number].upstream_id
             return (
                 (allowed is None or upstream_id in allowed)
-                and not is_avoided(upstream_id)
+                and upstream_id not in excluded
+                and not self._failure_detector.is_suspected(upstream_id, now)
                 and not (
                     max_flows
                     and table.open_flows[number]
@@ -302,10 +311,6 @@
     def _find_table(
         self,
         candidates: collections.abc.Sequence[directory.UpstreamEntry],
-        is_avoided: collections.abc.Callable[[model.UpstreamId], bool],
-        capacity_factor: collections.abc.Callable[
-            [model.UpstreamId], float
-        ],
         now: datetime.timedelta,
     ) -> _Table:
         service = candidates[0].service
@@ -328,8 +333,6 @@
             new,
             service,
             table is None or table.revision != new.revision,
-            is_avoided,
-            capacity_factor,
             now,
         )
         self._tables_by_service[service] = new
@@ -340,10 +343,6 @@
         table: _Table,
         service: str,
         changed: bool,
-        is_avoided: collections.abc.Callable[[model.UpstreamId], bool],
-        capacity_factor: collections.abc.Callable[
-            [model.UpstreamId], float
-        ],
         now: datetime.timedelta,
     ) -> None:
         self._discard_old_openings(now)
@@ -378,22 +377,25 @@
             upstream_id = entry.upstream_id
             found = self._estimator.estimate(upstream_id, now)
             self._note_change(upstream_id, found)
-            factor = 1.0 if found.known else capacity_factor(upstream_id)
-            limit, rate = found.limit * factor, found.rate * factor
+            limit, rate = found.limit, found.rate
+            if not found.known:
+                factor = self._get_capacity_factor(upstream_id, now)
+                limit, rate = limit * factor, rate * factor
             level = self._average_level(upstream_id, load.in_progress, now)
             if found.service_time:
+                table.measured = True
                 expected = load.open_flows * request_rate * limit / rate
                 level += _FLOW_WEIGHT * (expected - level)
+            suspected = self._failure_detector.is_suspected(upstream_id, now)
             weight = rate * max(0.0, 1.0 - level / limit)
+            if suspected:
+                weight = 0.0
             table.limits.append(limit)
             table.rates.append(rate)
             table.loads.append(level)
             table.open_flows.append(load.open_flows)
-            table.weights.append(weight)
             is_local = entry.upstream.data_centre == self._data_centre
-            (local if is_local else remote)[number] = (
-                0.0 if is_avoided(upstream_id) else weight
-            )
+            (local if is_local else remote)[number] = weight
         table.local = _make_pool(table, local)
         table.remote = _make_pool(table, remote)
         if changed:
@@ -401,8 +403,7 @@
         table.demands = {
             data_centre: average.value
             for (name, data_centre), average in self._demands_by_key.items()
-            if name == service
-            and now - average.updated_at < _RETENTION
+            if name == service and now - average.updated_at < _RETENTION
         }
 
     def _discard_old_openings(self, now: datetime.timedelta) -> None:
@@ -471,6 +472,8 @@
         to those that are below it. If all are above it together, the common
         load of all data centres takes its place.
         """
+        if not table.measured:
+            return 0.0, table.remote
         found = table.shares_by_load.get(spill_over_load)
         if found is None:
             found = self._find_spill_over(table, spill_over_load)
@@ -482,9 +485,12 @@
     ) -> tuple[float, _Pool]:
         rates: collections.Counter[str] = collections.Counter()
         for entry, rate in zip(table.candidates, table.rates, strict=True):
-            rates[entry.upstream.data_centre] += rate
+            if not self._failure_detector.is_suspected(
+                entry.upstream_id, table.built_at
+            ):
+                rates[entry.upstream.data_centre] += rate
         own = rates[self._data_centre]
-        if not own:
+        if not own or not rates.total():
             return 1.0, table.remote
         demand = table.demands.get(self._data_centre, 0.0)
         level = max(
@@ -502,7 +508,9 @@
         pool = _Pool(
             {
                 number: rate
-                * free_shares[table.candidates[number].upstream.data_centre]
+                * free_shares.get(
+                    table.candidates[number].upstream.data_centre, 0.0
+                )
                 for number, rate in enumerate(table.rates)
                 if table.candidates[number].upstream.data_centre
                 != self._data_centre
