--- a/acaciamoor/load/scenarios/opening_model.py
+++ b/acaciamoor/load/scenarios/opening_model.py
@@ -57,7 +57,7 @@
 
 
 def upstream_entries(
-    count: int, data_centres: int = 1
+    count: int, data_centres: int = 1, slots: int = SLOTS
 ) -> list[directory.UpstreamEntry]:
     """Return the directory entries of the modelled upstreams."""
     return [
@@ -66,7 +66,7 @@
                 model.UpstreamId(f'board-{number}'),
                 data_centre_of(number, data_centres),
                 model.Address('127.0.0.1', 9000 + number),
-                slots=SLOTS,
+                slots=slots,
             ),
             service=SERVICE,
             wire_id=number + 1,
--- a/acaciamoor/load/scenarios/site_model.py
+++ b/acaciamoor/load/scenarios/site_model.py
@@ -38,12 +38,23 @@
         The same among long flows or single requests, whichever is lower.
     remote : float
         Flows that were opened in another data centre.
+    late_new : float
+        New flows in the measured period whose first answer came late or not
+        at all.
+    rejected : float
+        Arrivals at upstreams in that period that were rejected.
+    busiest : float
+        Most requests of an upstream in that period, relative to its share of
+        the capacity.
     """
 
     in_time: float
     worst_second: float
     worst_kind: float
     remote: float
+    late_new: float = 0.0
+    rejected: float = 0.0
+    busiest: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,6 +70,8 @@
     upstream_id: str = ''
     tried_ids: list[str] = dataclasses.field(default_factory=list)
     retried: bool = False
+    # Whether its first request has not been answered yet.
+    new: bool = True
 
 
 class SiteSimulation:
@@ -87,7 +100,7 @@
         self._pattern = pattern
         self._rng = random.Random(seed)
         self._entries = opening_model.upstream_entries(
-            pattern.upstreams, pattern.data_centres
+            pattern.upstreams, pattern.data_centres, pattern.slots
         )
         self._numbers_by_id = {
             entry.upstream_id: number
@@ -103,6 +116,12 @@
         self._in_time_by_second = collections.Counter()
         self._counts_by_kind = collections.Counter()
         self._in_time_by_kind = collections.Counter()
+        self._arrivals_by_id = collections.Counter()
+        self._rejected = 0
+        self._new = 0
+        self._new_in_time = 0
+        # Delays of reports must not change the arrivals.
+        self._report_rng = random.Random(seed)
         self._opened = 0
         self._remote = 0
 
@@ -118,12 +137,27 @@
                 )
         if pattern.outage[1]:
             self._schedule(pattern.outage[1], self._restart_hosts)
+        self._schedule(0.0, self._report)
         end = pattern.end_s + _GIVE_UP_AFTER_S
         while self._events and self._events[0][0] <= end:
             now, _, action, arguments = heapq.heappop(self._events)
             action(now, *arguments)
         return self._outcome()
 
+    def _report(self, now: float) -> None:
+        """Send what hosts report, some time before it arrives."""
+        for summary in self._placement.take_reports(now):
+            delay = self._report_rng.uniform(*site_placements.REPORT_DELAYS_S)
+            self._schedule(now + delay, self._receive_report, summary)
+        self._schedule(now + site_placements.REPORT_INTERVAL_S, self._report)
+
+    def _receive_report(self, now: float, summary) -> None:
+        self._placement.receive_report(summary, now)
+
+    def _is_measured(self, when: float) -> bool:
+        start, end = self._pattern.measured_s
+        return start <= when < end
+
     def _schedule(self, when: float, action, *arguments) -> None:
         event = (when, next(self._event_numbers), action, arguments)
         heapq.heappush(self._events, event)
@@ -147,13 +181,16 @@
         if now >= demand.end_s:
             return
         long_share = opening_model.LONG_FLOW_REQUEST_SHARE
-        short = (1 - long_share) * demand.rate
-        long = long_share * demand.rate / opening_model.LONG_FLOW_REQUESTS
+        peak = demand.rate * (1.0 + demand.wave)
+        short = (1 - long_share) * peak
+        long = long_share * peak / opening_model.LONG_FLOW_REQUESTS
         self._schedule(
             now + self._rng.expovariate(short + long),
             self._open_next_flow,
             demand,
         )
+        if demand.wave and self._rng.random() >= demand.level(now):
+            return
         is_long = self._rng.random() < long / (short + long)
         requests = opening_model.LONG_FLOW_REQUESTS if is_long else 1
         self._start_flow(now, demand.data_centre, is_long, requests, now)
@@ -176,6 +213,7 @@
         )
         if attempt == 1:
             self._count(flow)
+            self._new += self._is_measured(first_sent_at)
         for delay in _COPIES_AT_S:
             self._schedule(now + delay, self._place, flow)
 
@@ -205,6 +243,7 @@
             return
         self._placement.detectors[flow.host].record_answer(chosen.upstream_id)
         flow.upstream_id = chosen.upstream_id
+        self._placement.open_flow(flow.host, flow.upstream_id)
         self._opened += 1
         number = self._numbers_by_id[chosen.upstream_id]
         self._remote += number % self._pattern.data_centres != flow.data_centre
@@ -251,11 +290,13 @@
             return
         self._placement.begin_request(flow.host, flow.upstream_id, now)
         flow.sent_at = now
+        if self._is_measured(now):
+            self._arrivals_by_id[flow.upstream_id] += 1
         upstream = self._upstreams_by_id[flow.upstream_id]
         if self._is_silent(flow.upstream_id, now):
             # The caller waits for its deadline and opens another flow.
-            self._schedule(now + _DEADLINE_S, self._end_request, flow)
-        elif upstream.busy_slots < opening_model.SLOTS:
+            self._schedule(now + _DEADLINE_S, self._abandon, flow)
+        elif upstream.busy_slots < self._pattern.slots:
             self._run_request(now, upstream, flow)
         elif len(upstream.queue) < opening_model.QUEUE_LIMIT:
             upstream.queue.append(flow)
@@ -267,8 +308,13 @@
     ) -> None:
         self._placement.end_request(flow.host, flow.upstream_id, now, seconds)
 
-    def _handle_shed(self, now: float, flow: _Flow) -> None:
+    def _abandon(self, now: float, flow: _Flow) -> None:
         self._end_request(now, flow)
+        self._placement.close_flow(flow.host, flow.upstream_id)
+
+    def _handle_shed(self, now: float, flow: _Flow) -> None:
+        self._rejected += self._is_measured(now)
+        self._abandon(now, flow)
         if flow.attempt < opening_model.MAX_ATTEMPTS:
             delay = opening_model.MAX_RETRY_DELAY_S * self._rng.random()
             self._schedule(
@@ -287,6 +333,10 @@
         upstream.busy_slots += 1
         number = self._numbers_by_id[flow.upstream_id]
         seconds = opening_model.draw_run_time(self._rng)
+        seconds /= self._pattern.speed(number)
+        knee = self._pattern.knee(number)
+        if knee:
+            seconds *= max(1.0, upstream.busy_slots / knee) ** 2
         for item in self._disturbances_at(now):
             if number in item.upstreams:
                 seconds *= item.slowness
@@ -302,10 +352,15 @@
         if now - flow.first_sent_at <= opening_model.ANSWER_GOAL_S:
             self._in_time_by_second[int(flow.first_sent_at)] += 1
             self._in_time_by_kind[flow.long] += 1
+            if flow.new:
+                self._new_in_time += self._is_measured(flow.first_sent_at)
+        flow.new = False
         flow.remaining_requests -= 1
         if flow.remaining_requests:
             pause = self._rng.expovariate(1 / opening_model.MEAN_PAUSE_S)
             self._schedule(now + pause, self._send_next_request, flow)
+        else:
+            self._placement.close_flow(flow.host, flow.upstream_id)
 
     def _send_next_request(self, now: float, flow: _Flow) -> None:
         if now >= self._pattern.end_s:
@@ -317,6 +372,7 @@
             self._send(now, flow)
         else:
             # Upstreams that drain close their flows.
+            self._placement.close_flow(flow.host, flow.upstream_id)
             self._start_flow(
                 now,
                 flow.data_centre,
@@ -333,6 +389,20 @@
             min(in_time[second] / counts[second] for second in counts),
             min(self._in_time_by_kind[kind] / kinds[kind] for kind in kinds),
             self._remote / self._opened,
+            1.0 - self._new_in_time / self._new,
+            self._rejected / self._arrivals_by_id.total(),
+            self._find_busiest(),
+        )
+
+    def _find_busiest(self) -> float:
+        capacities = [
+            self._pattern.capacity(number)
+            for number in range(len(self._entries))
+        ]
+        mean = self._arrivals_by_id.total() / sum(capacities)
+        return max(
+            self._arrivals_by_id[entry.upstream_id] / capacity / mean
+            for entry, capacity in zip(self._entries, capacities, strict=True)
         )
 
 
@@ -342,3 +412,12 @@
     """Replay a pattern with a placement of `PLACEMENTS_BY_NAME`."""
     placement = site_placements.PLACEMENTS_BY_NAME[name](pattern, seed)
     return SiteSimulation(placement, pattern, seed).run()
+
+
+def replay_capacity(
+    name: str, pattern: site_patterns.SitePattern, seed: int
+) -> SiteOutcome:
+    """Replay a pattern with one of `CAPACITY_PLACEMENTS_BY_NAME`."""
+    build = site_placements.CAPACITY_PLACEMENTS_BY_NAME[name]
+    placement = build(pattern, seed)
+    return SiteSimulation(placement, pattern, seed).run()
--- a/acaciamoor/load/scenarios/site_patterns.py
+++ b/acaciamoor/load/scenarios/site_patterns.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 
 # Share of the upstreams' capacity that callers use on average.
 _USUAL_LOAD = 0.55
@@ -13,16 +14,40 @@
 _END_S = 8.0
 _DATA_CENTRES = 3
 _UPSTREAMS = 15
+# Period of the demand of a data centre.
+WAVE_PERIOD_S = 8.0
+# Hosts of the measured site.
+_MANY_HOSTS = 75
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
-    """Requests of the callers of one data centre, at a constant rate."""
+    """Requests of the callers of one data centre.
+
+    Parameters
+    ----------
+    start_s, end_s : float
+        The period.
+    data_centre : int
+        Data centre of the callers.
+    rate : float
+        Mean rate, in requests a second.
+    wave : float
+        Amplitude of the wave that the rate follows, as a share of the mean;
+        data centres are out of phase.
+    """
 
     start_s: float
     end_s: float
     data_centre: int
     rate: float
+    wave: float = 0.0
+
+    def level(self, now: float) -> float:
+        """Return the rate at a time, relative to its peak."""
+        phase = now / WAVE_PERIOD_S + self.data_centre / _DATA_CENTRES
+        swing = self.wave * math.sin(2 * math.pi * phase)
+        return (1.0 + swing) / (1.0 + self.wave)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +95,16 @@
         Size of the site.
     outage : tuple of float
         Start and end of a period without hosts.
+    slots : int
+        Slots of each upstream.
+    speeds : tuple of float
+        Speeds of the upstreams of a data centre, in turn.
+    knees : tuple of int
+        The same for the busy slots from which on an upstream slows, with the
+        square of the busy slots; 0 if it does not.
+    measured_s : tuple of float
+        Period in which late new flows, rejected arrivals and the busiest
+        upstream are measured.
     """
 
     name: str
@@ -79,6 +114,23 @@
     hosts: int = 9
     upstreams: int = _UPSTREAMS
     outage: tuple[float, float] = (0.0, 0.0)
+    slots: int = 2
+    speeds: tuple[float, ...] = (1.0,)
+    knees: tuple[int, ...] = (0,)
+    measured_s: tuple[float, float] = (0.0, _END_S)
+
+    def speed(self, number: int) -> float:
+        """Return the speed of an upstream without load."""
+        return self.speeds[number // self.data_centres % len(self.speeds)]
+
+    def knee(self, number: int) -> int:
+        """Return the busy slots from which on an upstream slows."""
+        return self.knees[number // self.data_centres % len(self.knees)]
+
+    def capacity(self, number: int) -> float:
+        """Return the requests a second that an upstream can serve."""
+        slots = self.knee(number) or self.slots
+        return UPSTREAM_CAPACITY * self.speed(number) * slots / 2
 
     @property
     def end_s(self) -> float:
@@ -177,6 +229,100 @@
     )
 
 
+def _site_demand(
+    pattern: SitePattern,
+    load: float,
+    period_s: tuple[float, float],
+    wave: float = 0.0,
+) -> tuple[Demand, ...]:
+    """Return equal demands of `load` times the capacity of a site."""
+    capacity = sum(map(pattern.capacity, range(pattern.upstreams)))
+    return tuple(
+        Demand(*period_s, number, load * capacity / pattern.data_centres, wave)
+        for number in range(pattern.data_centres)
+    )
+
+
+def slow_upstreams() -> SitePattern:
+    """Return two fifths of the upstreams, five times slower for 8 s.
+
+    The demand is a third of what the others can serve.
+    """
+    slow = frozenset(range(2 * _UPSTREAMS // 5))
+    empty = SitePattern('slow upstreams', (), hosts=_MANY_HOSTS)
+    load = (1.0 - len(slow) / _UPSTREAMS) / 3
+    return dataclasses.replace(
+        empty,
+        demands=_site_demand(empty, load, (0.0, 11.0)),
+        disturbances=(Disturbance(3.0, 11.0, slow, slowness=5.0),),
+        measured_s=(4.0, 11.0),
+    )
+
+
+def overload() -> SitePattern:
+    """Return a demand of 1.2 times the slots for 6 s."""
+    empty = SitePattern('overload', (), hosts=_MANY_HOSTS)
+    return dataclasses.replace(
+        empty,
+        demands=(
+            *_site_demand(empty, _USUAL_LOAD, (0.0, 10.0)),
+            *_site_demand(empty, 1.2 - _USUAL_LOAD, (2.0, 8.0)),
+        ),
+        measured_s=(2.0, 8.0),
+    )
+
+
+def unequal_speeds() -> SitePattern:
+    """Return upstreams that differ in speed by a factor of 2.5."""
+    empty = SitePattern(
+        'unequal speeds',
+        (),
+        hosts=_MANY_HOSTS,
+        upstreams=18,
+        speeds=(0.7, 0.7, 1.7),
+    )
+    return dataclasses.replace(
+        empty,
+        demands=_site_demand(empty, 0.7, (0.0, 20.0)),
+        measured_s=(4.0, 20.0),
+    )
+
+
+def uneven_demand() -> SitePattern:
+    """Return a demand in waves of 0.55, out of phase."""
+    empty = SitePattern('uneven demand', (), hosts=_MANY_HOSTS)
+    return dataclasses.replace(
+        empty,
+        demands=_site_demand(empty, 0.65, (0.0, 16.0), 0.55),
+        measured_s=(2.0, 16.0),
+    )
+
+
+def early_knee() -> SitePattern:
+    """Return upstreams of which a third slows long before it is full."""
+    empty = SitePattern(
+        'early knee',
+        (),
+        hosts=_MANY_HOSTS,
+        upstreams=9,
+        slots=8,
+        knees=(0, 0, 3),
+    )
+    return dataclasses.replace(
+        empty,
+        demands=_site_demand(empty, 0.75, (0.0, 12.0)),
+        measured_s=(4.0, 12.0),
+    )
+
+
+# Patterns of upstreams whose capacity hosts must measure.
+CAPACITY_PATTERNS = (
+    slow_upstreams,
+    overload,
+    unequal_speeds,
+    uneven_demand,
+    early_knee,
+)
 PATTERNS = (
     usual_demand,
     burst_in_a_data_centre,
--- a/acaciamoor/load/scenarios/site_placements.py
+++ b/acaciamoor/load/scenarios/site_placements.py
@@ -1,10 +1,14 @@
 """Placements of new flows at a site, to compare."""
 
+import collections
 import datetime
 import functools
 import random
 
+import msgspec
+
 from acaciamoor import directory
+from acaciamoor import load_reports
 from acaciamoor import openings
 from acaciamoor.load.scenarios import opening_model
 from acaciamoor.load.scenarios import site_patterns
@@ -13,6 +17,10 @@
 _FIXED_COST = 0.5
 _TIE = 1e-6
 _SECOND = datetime.timedelta(seconds=1)
+# Interval of the reports of hosts, and how long they are on their way.
+REPORT_INTERVAL_S = 0.2
+REPORT_DELAYS_S = (0.1, 0.3)
+_LEVELS = frozenset(('in_progress', 'open_flows'))
 _IDEMPOTENT = directory.RequestKind.IDEMPOTENT
 
 
@@ -51,7 +59,7 @@
             [detectors[0]] * pattern.hosts if shared else detectors
         )
         self._placers = [
-            self.placer_class(
+            self.new_placer(
                 opening_model.data_centre_of(host, pattern.data_centres),
                 self.trackers[host],
                 self.demand_trackers[host],
@@ -64,6 +72,10 @@
         for placer in self._placers:
             placer.local_hosts = pattern.hosts // pattern.data_centres
 
+    def new_placer(self, *arguments) -> openings.OpeningPlacer:
+        """Return the placer of a host."""
+        return self.placer_class(*arguments)
+
     def choose(
         self,
         host: int,
@@ -81,6 +93,21 @@
         for placer in self._placers:
             placer.set_warm_up(upstream_id, seconds * _SECOND, now * _SECOND)
 
+    def open_flow(self, host: int, upstream_id: str) -> None:
+        """Record that a flow is open at an upstream."""
+
+    def close_flow(self, host: int, upstream_id: str) -> None:
+        """Record that a flow of an upstream has ended."""
+
+    def take_reports(self, now: float) -> list[load_reports.LoadSummary]:
+        """Return what hosts report to each other; nothing by default."""
+        return []
+
+    def receive_report(
+        self, summary: load_reports.LoadSummary, now: float
+    ) -> None:
+        """Take in what hosts report."""
+
     def forget(self) -> None:
         """Lose all knowledge, as hosts do that lose power."""
         for item in (
@@ -153,6 +180,128 @@
     placer_class = _FixedCostPlacer
 
 
+class SharedLoadPlacement(OwnViewPlacement):
+    """Acaciamoor with a picture of the load that all hosts share."""
+
+    def __init__(
+        self,
+        pattern: site_patterns.SitePattern,
+        seed: int,
+        settings: openings.PlacementSettings | None = None,
+    ) -> None:
+        self.data_centres = [
+            opening_model.data_centre_of(number, pattern.data_centres)
+            for number in range(pattern.data_centres)
+        ]
+        self._hosts = pattern.hosts // pattern.data_centres
+        self.pictures_by_data_centre = {
+            name: load_reports.LoadPicture(name) for name in self.data_centres
+        }
+        self._counts: list[dict[str, collections.Counter]] = [
+            collections.defaultdict(collections.Counter)
+            for _ in self.data_centres
+        ]
+        self._serial = 0
+        super().__init__(pattern, seed, settings)
+
+    def new_placer(self, *arguments) -> openings.OpeningPlacer:
+        """Return the placer of a host."""
+        picture = self.pictures_by_data_centre[arguments[0]]
+        return self.placer_class(*arguments, picture=picture)
+
+    def open_flow(self, host: int, upstream_id: str) -> None:
+        """Record that a flow is open at an upstream."""
+        counts = self._find_counts(host, upstream_id)
+        counts['open_flows'] += 1
+        counts['openings'] += 1
+
+    def close_flow(self, host: int, upstream_id: str) -> None:
+        """Record that a flow of an upstream has ended."""
+        self._find_counts(host, upstream_id)['open_flows'] -= 1
+
+    def begin_request(self, host: int, upstream_id: str, now: float) -> None:
+        """Record that a host forwards a request."""
+        super().begin_request(host, upstream_id, now)
+        counts = self._find_counts(host, upstream_id)
+        counts['in_progress'] += 1
+        counts['started'] += 1
+
+    def end_request(
+        self, host: int, upstream_id: str, now: float, seconds: float
+    ) -> None:
+        """Record that a request ends; `seconds` is 0 without an answer."""
+        super().end_request(host, upstream_id, now, seconds)
+        counts = self._find_counts(host, upstream_id)
+        counts['in_progress'] -= 1
+        if seconds:
+            counts['finished'] += 1
+            counts['busy_seconds'] += seconds
+        else:
+            counts['rejected'] += 1
+
+    def take_reports(self, now: float) -> list[load_reports.LoadSummary]:
+        """Return the sum of each data centre since the last call."""
+        self._serial += 1
+        summaries = []
+        for name, counts_by_id in zip(
+            self.data_centres, self._counts, strict=True
+        ):
+            summaries.append(
+                load_reports.LoadSummary(
+                    name,
+                    f'{name}-1',
+                    1,
+                    self._serial,
+                    self._hosts,
+                    now,
+                    REPORT_INTERVAL_S,
+                    [
+                        load_reports.UpstreamLoad(upstream_id, **counts)
+                        for upstream_id, counts in counts_by_id.items()
+                    ],
+                )
+            )
+            for counts in counts_by_id.values():
+                for key in tuple(counts):
+                    if key not in _LEVELS:
+                        del counts[key]
+        return summaries
+
+    def receive_report(
+        self, summary: load_reports.LoadSummary, now: float
+    ) -> None:
+        """Take in a sum; its age is the time at which it was taken."""
+        aged = msgspec.structs.replace(summary, age=now - summary.age)
+        for picture in self.pictures_by_data_centre.values():
+            picture.record(aged, now * _SECOND)
+
+    def _find_counts(self, host: int, upstream_id: str) -> collections.Counter:
+        return self._counts[host % len(self._counts)][upstream_id]
+
+
+class LeastSharedLoadPlacement(SharedLoadPlacement):
+    """Baseline: all hosts choose the least load in the picture."""
+
+    def choose(
+        self,
+        host: int,
+        candidates: list[directory.UpstreamEntry],
+        excluded: list[str],
+        now: float,
+    ) -> directory.UpstreamEntry | None:
+        """Return the upstream for a new flow."""
+        own = self.data_centres[host % len(self.data_centres)]
+        picture = self.pictures_by_data_centre[own]
+
+        def cost(entry: directory.UpstreamEntry) -> float:
+            load = picture.load_of(entry.upstream_id, now * _SECOND)
+            level = 0 if load is None else load.in_progress
+            distance = 0.0 if entry.upstream.data_centre == own else 0.5
+            return level / entry.upstream.slots + distance
+
+        return min(candidates, key=cost, default=None)
+
+
 PLACEMENTS_BY_NAME = {
     'acaciamoor': OwnViewPlacement,
     'fixed cost of distance': FixedCostPlacement,
@@ -161,3 +310,11 @@
         OwnViewPlacement, shared=True
     ),
 }
+# Placements on the patterns of upstreams whose capacity must be measured.
+CAPACITY_PLACEMENTS_BY_NAME = {
+    'acaciamoor': SharedLoadPlacement,
+    'own view': OwnViewPlacement,
+    'least shared load': LeastSharedLoadPlacement,
+    'random': RandomPlacement,
+    'one table for all hosts': PLACEMENTS_BY_NAME['one table for all hosts'],
+}
