--- a/acaciamoor/capacity/concurrency.py
+++ b/acaciamoor/capacity/concurrency.py
@@ -30,7 +30,7 @@
     """
     if in_progress <= 0.0:
         return 0.0
-    exponent = 1.0 + math.log2(slots)
+    exponent = 1.0 + 2.0 * math.log2(slots)
     ratio = in_progress / slots
     return in_progress / (1.0 + ratio**exponent) ** (1.0 / exponent)
 
--- a/acaciamoor/capacity/estimator.py
+++ b/acaciamoor/capacity/estimator.py
@@ -16,25 +16,29 @@
 from acaciamoor import model
 from acaciamoor.capacity import concurrency
 
-# Time constant of the averages. At 30 answers a second the standard deviation
-# of a service time is 6%; a step is found by comparison with recent samples.
-_AVERAGING_TIME = datetime.timedelta(seconds=4)
+# Answers after which earlier ones have lost two thirds of their weight. The
+# standard deviation of a service time is then 7%; a step is found by
+# comparison with recent samples.
+_AVERAGED_ANSWERS = 120.0
+# The same in time. A slow upstream gets few flows, and with 4 s all hosts
+# forgot that it is slow and tried it again together.
+_AVERAGING_TIME = datetime.timedelta(seconds=15)
 # Samples of 0.2 s that are compared with the average: a step must show within
 # a second, of which reports take up to 0.4 s.
-_RECENT_SAMPLES = 3
+_RECENT_SAMPLES = 4
 # A step needs this ratio of service times, and this log-likelihood ratio of
 # the two (three standard deviations).
 _STEP_RATIO = 1.6
-_STEP_EVIDENCE = 4.5
+_STEP_EVIDENCE = 3.5
 # Answers as many as which the typical upstream of the service weighs.
-_PRIOR_ANSWERS = 4.0
+_PRIOR_ANSWERS = 2.0
 # Answers, or the time for them, from which an upstream counts as known.
 _MIN_ANSWERS = 8.0
 # Servers of one service differ by a factor of 2.5 in speed. One that is
 # slower than that takes less than its slots well: its answers come late even
 # if it has no queue. At five times the service time it takes an eighth.
 _SLOW_RATIO = 2.5
-_SLOW_EXPONENT = 3.0
+_SLOW_EXPONENT = 5.0
 # Upstreams without updates for this time are forgotten.
 _RETENTION = datetime.timedelta(seconds=60)
 
@@ -177,7 +181,10 @@
         # less noise. Both have the same mean.
         in_progress = (level + sample.busy_seconds / sample.interval) / 2
         seconds = sample.interval * concurrency.busy_slots(in_progress, slots)
-        decay = math.exp(-elapsed / _AVERAGING_TIME.total_seconds())
+        decay = math.exp(
+            -elapsed / _AVERAGING_TIME.total_seconds()
+            - sample.finished / _AVERAGED_ANSWERS
+        )
         record.answers = record.answers * decay + sample.finished
         record.seconds = record.seconds * decay + seconds
         record.recent.append((sample.finished, seconds))
--- a/acaciamoor/load/scenarios/site_placements.py
+++ b/acaciamoor/load/scenarios/site_placements.py
@@ -202,6 +202,9 @@
             for _ in self.data_centres
         ]
         self._serial = 0
+        self._entries = opening_model.upstream_entries(
+            pattern.upstreams, pattern.data_centres, pattern.slots
+        )
         super().__init__(pattern, seed, settings)
 
     def new_placer(self, *arguments) -> openings.OpeningPlacer:
@@ -274,6 +277,11 @@
         aged = msgspec.structs.replace(summary, age=now - summary.age)
         for picture in self.pictures_by_data_centre.values():
             picture.record(aged, now * _SECOND)
+        for host, placer in enumerate(self._placers):
+            if self.data_centres[host % len(self.data_centres)] == (
+                summary.data_centre
+            ):
+                placer.update_load(self._entries, now * _SECOND)
 
     def _find_counts(self, host: int, upstream_id: str) -> collections.Counter:
         return self._counts[host % len(self._counts)][upstream_id]
--- a/acaciamoor/openings/placer.py
+++ b/acaciamoor/openings/placer.py
@@ -159,6 +159,23 @@
         if self._shared is not None:
             self._shared.forget(upstream_id)
 
+    def update_load(
+        self,
+        entries: collections.abc.Iterable[directory.UpstreamEntry],
+        now: datetime.timedelta,
+    ) -> None:
+        """Take in the load that hosts share, if there is a new summary.
+
+        Parameters
+        ----------
+        entries : iterable of UpstreamEntry
+            All upstreams.
+        now : datetime.timedelta
+            Current time.
+        """
+        if self._shared is not None:
+            self._shared.update(entries, now)
+
     def choose(
         self,
         candidates: collections.abc.Sequence[directory.UpstreamEntry],
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -20,8 +20,9 @@
 from acaciamoor.openings import failure_detector as detectors
 
 # Time constant of the averages of levels and demands. A snapshot of the
-# requests in progress holds for about 50 ms, less than its age.
-_AVERAGING_TIME = datetime.timedelta(milliseconds=600)
+# requests in progress holds for about 50 ms, less than its age; averages over
+# 0.6 s made hosts swing (docs/design/measured-capacity.md).
+_AVERAGING_TIME = datetime.timedelta(seconds=2)
 # Weight of the load that open flows cause on average, beside that of their
 # requests in progress. Flows stay at their upstream, and one that happens to
 # be idle has no request in progress.
@@ -29,8 +30,10 @@
 # Draws from a pool before all candidates are compared. Where half of them are
 # suspected or were tried, six draws find two others with 0.89.
 _MAX_DRAWS = 6
-# A service that has not been asked for is forgotten after this time.
-_RETENTION = datetime.timedelta(seconds=60)
+# Share of the interval that must pass before the picture is taken in again.
+_MIN_INTERVAL_SHARE = 0.75
+# Changes of the rate by more than this are reported; see docs/parts.md.
+_NOTED_RATIO = 2.0
 _SECOND = datetime.timedelta(seconds=1)
 
 ChangeHandler = collections.abc.Callable[
@@ -189,6 +192,8 @@
         self._opened_by_id: collections.Counter[model.UpstreamId] = (
             collections.Counter()
         )
+        self._revision = 0
+        self._updated_at = -_SECOND
         # Capacity that was last reported as changed.
         self.capacities_by_id: dict[model.UpstreamId, capacities.Capacity] = {}
 
@@ -308,6 +313,59 @@
             rank += costs.remote
         return rank
 
+    def update(
+        self,
+        entries: collections.abc.Iterable[directory.UpstreamEntry],
+        now: datetime.timedelta,
+    ) -> None:
+        """Take in the picture after a summary of the own data centre.
+
+        A host that places one flow a second would miss most summaries if it
+        only read them then. Summaries of other data centres are taken in
+        with those of the own one, so that none counts several times.
+
+        Parameters
+        ----------
+        entries : iterable of UpstreamEntry
+            All upstreams; those without work are not in the picture.
+        now : datetime.timedelta
+            Current time.
+        """
+        picture = self._picture
+        if (
+            picture.revision == self._revision
+            or now - self._updated_at < _MIN_INTERVAL_SHARE * picture.interval
+            or not picture.is_fresh(now)
+        ):
+            return
+        self._revision = picture.revision
+        self._updated_at = now
+        self._discard_old_openings(now)
+        interval = picture.interval / _SECOND
+        services_by_id: dict[str, str] = {}
+        for entry in entries:
+            upstream_id = entry.upstream_id
+            services_by_id[upstream_id] = entry.service
+            load = picture.load_of(
+                upstream_id, now
+            ) or load_reports.UpstreamLoad(upstream_id)
+            self._estimator.update(
+                upstream_id,
+                entry.upstream.slots,
+                capacities.CapacitySample(
+                    interval,
+                    load.in_progress,
+                    load.finished,
+                    load.busy_seconds,
+                ),
+                now,
+                entry.service,
+            )
+            self._update_level(load, now)
+        for upstream_id in services_by_id:
+            self._note_change(upstream_id, now)
+        self._update_demands(services_by_id, now)
+
     def _find_table(
         self,
         candidates: collections.abc.Sequence[directory.UpstreamEntry],
@@ -315,60 +373,34 @@
     ) -> _Table:
         service = candidates[0].service
         table = self._tables_by_service.get(service)
-        if table is not None:
-            # Summaries of other data centres are taken in with the next one
-            # of the own data centre.
-            current = (
-                table.revision == self._picture.revision
-                or now - table.built_at < self._picture.interval
-            )
+        if table is not None and table.revision == self._revision:
             known = table.numbers_by_id
-            if current and (
-                table.candidates == candidates
-                or all(entry.upstream_id in known for entry in candidates)
+            if table.candidates == candidates or all(
+                entry.upstream_id in known for entry in candidates
             ):
                 return table
-        new = _Table(list(candidates), self._picture.revision, now)
-        self._fill(
-            new,
-            service,
-            table is None or table.revision != new.revision,
-            now,
-        )
-        self._tables_by_service[service] = new
-        return new
+        table = _Table(list(candidates), self._revision, now)
+        self._fill(table, now)
+        table.demands = {
+            data_centre: average.value
+            for (name, data_centre), average in self._demands_by_key.items()
+            if name == service
+        }
+        self._tables_by_service[service] = table
+        return table
 
-    def _fill(
-        self,
-        table: _Table,
-        service: str,
-        changed: bool,
-        now: datetime.timedelta,
-    ) -> None:
-        self._discard_old_openings(now)
-        interval = self._picture.interval / _SECOND
+    def _fill(self, table: _Table, now: datetime.timedelta) -> None:
         loads = [
             self._picture.load_of(entry.upstream_id, now)
             or load_reports.UpstreamLoad(entry.upstream_id)
             for entry in table.candidates
         ]
-        if changed:
-            for entry, load in zip(table.candidates, loads, strict=True):
-                self._estimator.update(
-                    entry.upstream_id,
-                    entry.upstream.slots,
-                    capacities.CapacitySample(
-                        interval,
-                        load.in_progress,
-                        load.finished,
-                        load.busy_seconds,
-                    ),
-                    now,
-                    service,
-                )
+        interval = self._picture.interval / _SECOND
         flows = sum(load.open_flows for load in loads)
         finished = sum(load.finished for load in loads)
-        request_rate = finished / flows / interval if flows else 0.0
+        request_rate = 0.0
+        if flows and interval > 0.0:
+            request_rate = finished / flows / interval
         local: dict[int, float] = {}
         remote: dict[int, float] = {}
         for number, (entry, load) in enumerate(
@@ -376,35 +408,29 @@
         ):
             upstream_id = entry.upstream_id
             found = self._estimator.estimate(upstream_id, now)
-            self._note_change(upstream_id, found)
             limit, rate = found.limit, found.rate
             if not found.known:
                 factor = self._get_capacity_factor(upstream_id, now)
                 limit, rate = limit * factor, rate * factor
-            level = self._average_level(upstream_id, load.in_progress, now)
+            average = self._levels_by_id.get(upstream_id)
+            level = load.in_progress if average is None else average.value
             if found.service_time:
                 table.measured = True
                 expected = load.open_flows * request_rate * limit / rate
                 level += _FLOW_WEIGHT * (expected - level)
-            suspected = self._failure_detector.is_suspected(upstream_id, now)
-            weight = rate * max(0.0, 1.0 - level / limit)
-            if suspected:
-                weight = 0.0
             table.limits.append(limit)
             table.rates.append(rate)
             table.loads.append(level)
             table.open_flows.append(load.open_flows)
+            # The draw follows what changes slowly. In proportion to free
+            # room, all hosts go where a summary 0.3 s ago showed most of it.
+            weight = rate * min(1.0, limit / entry.upstream.slots)
+            if self._failure_detector.is_suspected(upstream_id, now):
+                weight = 0.0
             is_local = entry.upstream.data_centre == self._data_centre
             (local if is_local else remote)[number] = weight
         table.local = _make_pool(table, local)
         table.remote = _make_pool(table, remote)
-        if changed:
-            self._update_demands(table, service, now)
-        table.demands = {
-            data_centre: average.value
-            for (name, data_centre), average in self._demands_by_key.items()
-            if name == service and now - average.updated_at < _RETENTION
-        }
 
     def _discard_old_openings(self, now: datetime.timedelta) -> None:
         age = self._picture.age(now)
@@ -417,46 +443,51 @@
             if self._opened_by_id[upstream_id] <= 0:
                 del self._opened_by_id[upstream_id]
 
-    def _average_level(
-        self,
-        upstream_id: model.UpstreamId,
-        in_progress: int,
-        now: datetime.timedelta,
-    ) -> float:
-        average = self._levels_by_id.get(upstream_id)
+    def _update_level(
+        self, load: load_reports.UpstreamLoad, now: datetime.timedelta
+    ) -> None:
+        average = self._levels_by_id.get(load.upstream_id)
         if average is None:
-            average = _Average(float(in_progress), now)
-            self._levels_by_id[upstream_id] = average
-        return average.add(float(in_progress), now)
+            self._levels_by_id[load.upstream_id] = _Average(
+                float(load.in_progress), now
+            )
+        else:
+            average.add(float(load.in_progress), now)
 
     def _note_change(
-        self, upstream_id: model.UpstreamId, found: capacities.Capacity
+        self, upstream_id: model.UpstreamId, now: datetime.timedelta
     ) -> None:
+        found = self._estimator.estimate(upstream_id, now)
         before = self.capacities_by_id.get(upstream_id)
         if before is None or not before.known:
             self.capacities_by_id[upstream_id] = found
         elif found.known and not (
-            before.rate / 2 <= found.rate <= before.rate * 2
+            before.rate / _NOTED_RATIO
+            <= found.rate
+            <= before.rate * _NOTED_RATIO
         ):
             self.capacities_by_id[upstream_id] = found
             if self._handle_change is not None:
                 self._handle_change(upstream_id, before, found)
 
     def _update_demands(
-        self, table: _Table, service: str, now: datetime.timedelta
+        self,
+        services_by_id: collections.abc.Mapping[str, str],
+        now: datetime.timedelta,
     ) -> None:
+        rates: collections.Counter[tuple[str, str]] = collections.Counter()
         for data_centre, summary in self._picture.summaries(now).items():
             if summary.interval <= 0.0:
                 continue
-            rate = (
-                sum(
-                    load.started
-                    for load in summary.upstreams
-                    if load.upstream_id in table.numbers_by_id
-                )
-                / summary.interval
-            )
-            key = (service, data_centre)
+            for load in summary.upstreams:
+                service = services_by_id.get(load.upstream_id)
+                if service is not None:
+                    rates[service, data_centre] += (
+                        load.started / summary.interval
+                    )
+        for key in self._demands_by_key.keys() - rates.keys():
+            del self._demands_by_key[key]
+        for key, rate in rates.items():
             average = self._demands_by_key.get(key)
             if average is None:
                 self._demands_by_key[key] = _Average(rate, now)
