--- a/acaciamoor/directory/directory.py
+++ b/acaciamoor/directory/directory.py
@@ -181,6 +181,13 @@
             return None
         return self._table.routes_by_address.get(address)
 
+    def max_flows(self, service: str) -> int:
+        """Return the open flows that an upstream holds; 0 without a limit."""
+        if self._table is None:
+            return 0
+        limits = self._table.limits_by_service.get(service)
+        return 0 if limits is None else limits.max_flows
+
     def find_upstream(
         self, address: tokens.ServiceAddress, token: int
     ) -> upstreams.UpstreamEntry | None:
--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -3,8 +3,10 @@
 import datetime
 import random
 
+from acaciamoor import capacity
 from acaciamoor import directory as directories
 from acaciamoor import hashing
+from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor import openings
 from acaciamoor import tokens
@@ -36,6 +38,10 @@
         Routes and upstreams.
     random_source : random.Random
         Source of randomness for ties between upstreams.
+    load_collector : LoadCollector or None
+        Counts the load that passes this host, for its reports.
+    load_picture : LoadPicture or None
+        Load that all hosts share; None if they do not.
     """
 
     def __init__(
@@ -43,6 +49,8 @@
         settings: core_settings.CoreSettings,
         directory: directories.Directory,
         random_source: random.Random,
+        load_collector: load_reports.LoadCollector | None = None,
+        load_picture: load_reports.LoadPicture | None = None,
     ) -> None:
         self._settings = settings
         self._directory = directory
@@ -51,8 +59,13 @@
         self.load_tracker = openings.LoadTracker()
         demand_tracker = openings.DemandTracker()
         self.failure_detector = openings.FailureDetector()
+        self.load_collector = load_collector or load_reports.LoadCollector(
+            '', settings.data_centre, 0
+        )
         self._flow_tracker = openings.FlowTracker(
-            self.load_tracker, demand_tracker
+            self.load_tracker,
+            demand_tracker,
+            load_collector=self.load_collector,
         )
         self._observations: list[effects.Observation] = []
         # Services without upstreams, and since when.
@@ -63,6 +76,8 @@
             demand_tracker,
             self.failure_detector,
             random_source,
+            picture=load_picture,
+            handle_change=self._record_capacity,
         )
 
     def handle(
@@ -163,12 +178,17 @@
         self._pending.clear()
         self._held.take_all()
 
+    def update_load(self, now: datetime.timedelta) -> None:
+        """Take in the load that hosts share, if there is a new summary."""
+        self.placer.update_load(self._directory.entries_by_id.values(), now)
+
     def expire(self, now: datetime.timedelta) -> None:
         """Remove idle flows and expired upstreams."""
         self._flow_tracker.expire(now, self._settings.idle_timeout)
         for upstream_id in self._directory.expire(now):
             self.load_tracker.forget(upstream_id)
             self.failure_detector.forget(upstream_id)
+            self.load_collector.forget(upstream_id)
             self.placer.forget(upstream_id)
 
     def _handle_opening(
@@ -220,11 +240,18 @@
             return _OUTDATED
         candidates = self._candidates(opening, now)
         entry = self.placer.choose(
-            candidates, route.kind, opening.tried_ids, now
+            candidates,
+            route.kind,
+            opening.tried_ids,
+            now,
+            self._directory.max_flows(opening.service),
         )
         if entry is None:
             return self._handle_empty_service(opening, now)
         self._empty_since_by_service.pop(opening.service, None)
+        if not opening.tried_ids:
+            self.load_collector.add_demand(opening.service, route.priority)
+        self.load_collector.add_opening(entry.upstream_id)
         opening.tried_ids.append(entry.upstream_id)
         opening.last_tried_at = now
         self._pending.put(opening)
@@ -271,6 +298,11 @@
         """Refuse a flow that no upstream can have seen; else drop a copy."""
         self._pending.pop(opening.key)
         if _is_refusable(opening, now):
+            route = self._directory.find_route(opening.address)
+            if route is not None:
+                self.load_collector.add_demand(
+                    opening.service, route.priority, refused=True
+                )
             return effects.Refusal(opening.key, reason)
         return otherwise
 
@@ -334,7 +366,7 @@
         if opening is not None:
             self._record_answer(opening, upstream_id, now)
         if packet.ends:
-            self._flow_tracker.record_end(key, now)
+            self._flow_tracker.record_end(key, now, packet.acknowledged)
         else:
             self._flow_tracker.record_packet(
                 key,
@@ -367,6 +399,18 @@
                 effects.SuspicionCleared(upstream_id, opening.key)
             )
 
+    def _record_capacity(
+        self,
+        upstream_id: model.UpstreamId,
+        before: capacity.Capacity,
+        after: capacity.Capacity,
+    ) -> None:
+        self._observations.append(
+            effects.CapacityChanged(
+                upstream_id, before.rate, after.rate, after.limit
+            )
+        )
+
     def _record_timeout(
         self, opening: openings.Opening, now: datetime.timedelta
     ) -> None:
@@ -374,6 +418,7 @@
         if silence >= self._settings.opening_lifetime:
             return
         upstream_id = opening.tried_ids[-1]
+        self.load_collector.add_unanswered(upstream_id)
         if self.failure_detector.record_timeout(upstream_id, now):
             self._observations.append(
                 effects.UpstreamSuspected(upstream_id, opening.key, silence)
--- a/acaciamoor/forwarder/effects.py
+++ b/acaciamoor/forwarder/effects.py
@@ -138,4 +138,25 @@
     duration: datetime.timedelta
 
 
-Observation = UpstreamSuspected | SuspicionCleared | HandshakeCompleted
+class CapacityChanged(msgspec.Struct, frozen=True):
+    """The measured rate of an upstream changed by more than a factor of two.
+
+    Parameters
+    ----------
+    upstream_id : UpstreamId
+        The upstream.
+    rate_before, rate : float
+        Requests a second before and now.
+    limit : float
+        Requests in progress that it takes well.
+    """
+
+    upstream_id: model.UpstreamId
+    rate_before: float
+    rate: float
+    limit: float
+
+
+Observation = (
+    UpstreamSuspected | SuspicionCleared | HandshakeCompleted | CapacityChanged
+)
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -16,16 +16,42 @@
 _MAX_UNSENT_BYTES = 4 << 20
 # A Hello message holds a host identifier and a few versions.
 _MAX_HELLO_BYTES = 4096
+# A report of 4,096 upstreams with long names takes less.
+_MAX_REPORT_BYTES = 1 << 20
+# Unsent bytes above which a listener is sent no summary of loads. It delays
+# changes of the collections by 50 ms at most over a link of 10 Mbit/s.
+_MAX_UNSENT_SUMMARY_BYTES = 1 << 16
+# Time after its last report for which a listener is sent summaries: five of
+# the longest intervals. A listener reports to the first of its relays only,
+# and needs the summaries once.
+_REPORTER_PERIOD = datetime.timedelta(seconds=2)
 # Minimum interval between two heartbeats that pass on confirmations.
 _MIN_HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
+# Called with the host and data centre of a listener, a message from it, and
+# for how long that was on the way.
+OnReport = collections.abc.Callable[
+    [str, str, replicas.Report | replicas.Summary, datetime.timedelta], None
+]
+
+
 class _Listener(msgspec.Struct):
     """Connected host; `below` is the number of its own listeners."""
 
     writer: asyncio.StreamWriter
     data_centre: str
     below: int
+    delays: replicas.DelayEstimator
+    # Time of its last report; None before the first one.
+    reported_at: datetime.timedelta | None = None
+
+    def reports(self, now: datetime.timedelta) -> bool:
+        """Return whether the host has reported lately."""
+        return (
+            self.reported_at is not None
+            and now - self.reported_at <= _REPORTER_PERIOD
+        )
 
 
 class RelayServer:
@@ -62,6 +88,7 @@
         # Number of hosts of the data centre; see `count_local_hosts`.
         self.local_hosts = 1
         self._server: asyncio.Server | None = None
+        self.on_report: OnReport | None = None
 
     @property
     def listeners(self) -> int:
@@ -174,6 +201,48 @@
             )
         )
 
+    def get_reporting_data_centres(self) -> set[str]:
+        """Return the data centres of the listeners that report here."""
+        now = self._clock.monotonic()
+        return {
+            listener.data_centre
+            for listener in self._listeners_by_host.values()
+            if listener.reports(now)
+        }
+
+    def send_summary(
+        self, message: replicas.Summary, data_centre: str
+    ) -> tuple[int, int]:
+        """Send sums to the listeners of a data centre that report here.
+
+        Listeners that do not read miss them, and stay connected.
+
+        Returns
+        -------
+        tuple
+            Number of listeners that were sent the message, and that missed
+            it.
+        """
+        now = self._clock.monotonic()
+        sent = missed = 0
+        frame = b''
+        for listener in self._listeners_by_host.values():
+            writer = listener.writer
+            if (
+                listener.data_centre != data_centre
+                or not listener.reports(now)
+                or writer.is_closing()
+            ):
+                continue
+            unsent = writer.transport.get_write_buffer_size()
+            if unsent > _MAX_UNSENT_SUMMARY_BYTES:
+                missed += 1
+                continue
+            frame = frame or self._codec.encode(message)
+            writer.write(frame)
+            sent += 1
+        return sent, missed
+
     def _send_all(self, message: replicas.Message) -> None:
         frame = self._codec.encode(message)
         for host, listener in list(self._listeners_by_host.items()):
@@ -207,7 +276,11 @@
             host = hello.host_id
             self._register_listener(hello, writer)
             while True:
-                self._update_listener(await self._read_hello(reader), writer)
+                message = await self._read_message(reader, _MAX_REPORT_BYTES)
+                if isinstance(message, replicas.Report | replicas.Summary):
+                    self._handle_report(host, message, writer)
+                else:
+                    self._update_listener(_check_hello(message), writer)
         except (OSError, EOFError, replicas.MessageError) as error:
             _LOG.info('listener %s disconnected: %r', host or 'unknown', error)
         except asyncio.CancelledError:
@@ -221,24 +294,36 @@
     async def _read_hello(
         self, reader: asyncio.StreamReader
     ) -> replicas.Hello:
+        return _check_hello(await self._read_message(reader, _MAX_HELLO_BYTES))
+
+    async def _read_message(
+        self, reader: asyncio.StreamReader, max_bytes: int
+    ) -> replicas.Message:
         length = self._codec.decode_length(
             await reader.readexactly(self._codec.header_bytes)
         )
-        if length > _MAX_HELLO_BYTES:
+        if length > max_bytes:
             raise replicas.MessageError(
-                f'Hello message of {length} bytes is too long'
+                f'message of {length} bytes from a listener is too long'
             )
-        message = self._codec.decode(await reader.readexactly(length))
-        if not isinstance(message, replicas.Hello):
-            raise replicas.MessageError(
-                f'{type(message).__name__} received before Hello'
-            )
-        if message.protocol != replicas.PROTOCOL:
-            raise replicas.MessageError(
-                f'host {message.host_id!r} uses protocol {message.protocol} '
-                f'instead of {replicas.PROTOCOL}'
-            )
-        return message
+        return self._codec.decode(await reader.readexactly(length))
+
+    def _handle_report(
+        self,
+        host: str,
+        message: replicas.Report | replicas.Summary,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        listener = self._listeners_by_host.get(host)
+        if listener is None or listener.writer is not writer:
+            return
+        now = self._clock.monotonic()
+        listener.reported_at = now
+        delay = listener.delays.record(
+            datetime.timedelta(seconds=message.sent_at), now
+        )
+        if self.on_report is not None:
+            self.on_report(host, listener.data_centre, message, delay)
 
     def _register_listener(
         self, hello: replicas.Hello, writer: asyncio.StreamWriter
@@ -255,6 +340,7 @@
             writer,
             '' if hello.peer is None else hello.peer.data_centre,
             hello.listeners,
+            replicas.DelayEstimator(),
         )
 
     def _update_listener(
@@ -286,6 +372,19 @@
             yield replicas.Beat({}, sent_at=now.total_seconds())
 
 
+def _check_hello(message: replicas.Message) -> replicas.Hello:
+    if not isinstance(message, replicas.Hello):
+        raise replicas.MessageError(
+            f'{type(message).__name__} received instead of Hello'
+        )
+    if message.protocol != replicas.PROTOCOL:
+        raise replicas.MessageError(
+            f'host {message.host_id!r} uses protocol {message.protocol} '
+            f'instead of {replicas.PROTOCOL}'
+        )
+    return message
+
+
 def _encode_peers(
     peers: collections.abc.Iterable[replicas.Peer],
 ) -> replicas.Peers:
