--- a/acaciamoor/forwarder/shell/driver.py
+++ b/acaciamoor/forwarder/shell/driver.py
@@ -269,11 +269,21 @@
             self._observer.record_failure(None)
         self._record_observations()
 
+    def _update_load(self, now: datetime.timedelta) -> None:
+        try:
+            self._core.update_load(now)
+        except Exception:
+            # Without measured capacities flows are placed as by one host
+            # alone; the timer must go on.
+            self._observer.record_failure(None)
+        self._record_observations()
+
     def _tick(self) -> None:
         now, _ = self._check_for_pause()
         if now >= self._expire_at:
             self._expire_at = now + _EXPIRY_INTERVAL
             self._core.expire(now)
+        self._update_load(now)
         self._observer.log_suppressed_lines()
         if self._loop is not None:
             self._loop.call_later(_TICK_INTERVAL.total_seconds(), self._tick)
--- a/acaciamoor/openings/flow_tracker.py
+++ b/acaciamoor/openings/flow_tracker.py
@@ -153,6 +153,7 @@
         flow = self._flows_by_key.pop(key, None)
         if flow is None:
             return
+        self._load_tracker.end_flow(flow.upstream_id)
         self._collector.remove_flow(flow.upstream_id)
         if not flow.busy:
             return
@@ -187,6 +188,7 @@
             self.record_end(next(iter(self._flows_by_key)), now)
         flow = TrackedFlow(upstream_id, service, acknowledged)
         self._flows_by_key[key] = flow
+        self._load_tracker.begin_flow(upstream_id)
         self._collector.add_flow(upstream_id)
         return flow
 
