--- /dev/null
+++ b/acaciamoor/admission/__init__.py
@@ -0,0 +1,13 @@
+"""Admission of new flows by importance while a service is overloaded."""
+
+from acaciamoor.admission.caller_counts import CallerCounts
+from acaciamoor.admission.controller import AdmissionController
+from acaciamoor.admission.controller import Evidence
+from acaciamoor.admission.settings import AdmissionSettings
+
+__all__ = [
+    'AdmissionController',
+    'AdmissionSettings',
+    'CallerCounts',
+    'Evidence',
+]
--- /dev/null
+++ b/acaciamoor/admission/controller.py
@@ -0,0 +1,395 @@
+"""Decision whether a new flow is admitted.
+
+Load pattern: a crowd asks for more than all upstreams of a service take. Most
+load comes from long flows that are open already, so that refusals take effect
+slowly, and the load picture is 0.2 to 0.4 s old. Refused callers return.
+"""
+
+import collections
+import collections.abc
+import datetime
+import random
+import typing
+
+import msgspec
+
+from acaciamoor import directory
+from acaciamoor import load_reports
+from acaciamoor import model
+from acaciamoor.admission import caller_counts
+from acaciamoor.admission import settings as admission_settings
+
+# Additional load that is tried while the upstreams are not full, so that the
+# requests in progress rise to their target.
+_HEADROOM = 0.05
+
+
+class DemandRate(typing.Protocol):
+    """Openings a second for a service over routes of one priority."""
+
+    openings_per_s: float
+    refused_per_s: float
+
+
+class LoadPicture(typing.Protocol):
+    """What a host knows of the load of all hosts."""
+
+    revision: int
+    interval: float
+
+    def is_fresh(self, now: datetime.timedelta) -> bool:
+        """Return whether decisions may rest on the picture."""
+
+    def load_of(
+        self, upstream_id: model.UpstreamId, now: datetime.timedelta
+    ) -> load_reports.UpstreamLoad | None:
+        """Return the load of an upstream; None if nothing is known."""
+
+    def demand_of(
+        self, service: str, now: datetime.timedelta
+    ) -> collections.abc.Mapping[int, DemandRate]:
+        """Return the demand for a service by priority."""
+
+
+class Capacity(typing.Protocol):
+    """What an upstream takes."""
+
+    limit: float
+    known: bool
+
+
+class CapacityEstimator(typing.Protocol):
+    """Measured capacity of upstreams."""
+
+    def estimate(
+        self, upstream_id: model.UpstreamId, now: datetime.timedelta
+    ) -> Capacity:
+        """Return what an upstream takes."""
+
+
+ListUpstreams = collections.abc.Callable[
+    [str, datetime.timedelta],
+    collections.abc.Sequence[directory.UpstreamEntry],
+]
+
+
+class Evidence(msgspec.Struct, frozen=True):
+    """What the admission to a service rests on.
+
+    Parameters
+    ----------
+    computed_at : datetime.timedelta
+        Time at which the picture was evaluated.
+    overloaded : bool
+        Whether openings are refused.
+    shares_by_priority : Mapping
+        Share of the openings that are admitted, from 0 to 1.
+    demand : float
+        Openings a second for the service, with those refused.
+    admitted : float
+        Openings a second that may be admitted.
+    in_progress : int
+        Requests in progress at the upstreams.
+    limit : float
+        Requests in progress that the upstreams take well.
+    free_upstreams : int
+        Upstreams with fewer requests in progress than they take well.
+    """
+
+    computed_at: datetime.timedelta
+    overloaded: bool = False
+    shares_by_priority: collections.abc.Mapping[int, float] = {}
+    demand: float = 0.0
+    admitted: float = 0.0
+    in_progress: int = 0
+    limit: float = 0.0
+    free_upstreams: int = 0
+
+
+class _Sample(msgspec.Struct, frozen=True):
+    """Load of a service in one picture; rates are per second."""
+
+    taken_at: datetime.timedelta
+    in_progress: int
+    limit: float
+    open_flows: int
+    started: float
+    finished: float
+    free_upstreams: int
+    openings_by_priority: dict[int, float]
+    refused_by_priority: dict[int, float]
+
+    @property
+    def opened(self) -> float:
+        """Openings a second that were admitted."""
+        return sum(self.openings_by_priority.values()) - self.refused
+
+    @property
+    def refused(self) -> float:
+        """Openings a second that were refused."""
+        return sum(self.refused_by_priority.values())
+
+
+class AdmissionController:
+    """Refuses openings over less important routes while a service is full.
+
+    All hosts compute the same shares from the same picture. Apart from the
+    pictures of the last second they keep no state, so a host that starts
+    agrees with the others within that time.
+
+    The number of flows that may be opened is the number that end, plus a
+    correction that brings the requests in progress to their target. This
+    needs no estimate of the requests that a flow brings: flows that are opened
+    replace flows that end.
+
+    Parameters
+    ----------
+    picture : LoadPicture
+        Load that all hosts reported.
+    capacity : CapacityEstimator
+        Measured capacity of upstreams.
+    list_upstreams : callable
+        Returns the upstreams of a service that this host may use.
+    random_source : random.Random
+        Source of randomness for the choice among openings of one priority.
+    settings : AdmissionSettings
+        Settings of the decisions.
+    """
+
+    def __init__(
+        self,
+        picture: LoadPicture,
+        capacity: CapacityEstimator,
+        list_upstreams: ListUpstreams,
+        random_source: random.Random,
+        settings: admission_settings.AdmissionSettings | None = None,
+    ) -> None:
+        self._picture = picture
+        self._capacity = capacity
+        self._list_upstreams = list_upstreams
+        self._random = random_source
+        self._settings = settings or admission_settings.AdmissionSettings()
+        self._table: directory.RouteTable | None = None
+        self._priorities_by_service: dict[str, tuple[int, ...]] = {}
+        self._samples_by_service: dict[str, collections.deque[_Sample]] = {}
+        self._evidence_by_service: dict[str, Evidence] = {}
+        self._callers_by_service: dict[str, caller_counts.CallerCounts] = {}
+        # When this host last admitted an opening, by service and priority.
+        self._admitted_at: dict[tuple[str, int], datetime.timedelta] = {}
+
+    def update_routes(self, table: directory.RouteTable | None) -> None:
+        """Take over the priorities of the routes in force."""
+        if table is self._table:
+            return
+        self._table = table
+        found = collections.defaultdict(set)
+        routes = () if table is None else table.routes_by_address.values()
+        for route in routes:
+            for service in route.weights_by_service:
+                found[service].add(route.priority)
+        self._priorities_by_service = {
+            service: tuple(sorted(priorities))
+            for service, priorities in found.items()
+            if len(priorities) > 1
+        }
+        for state_by_service in (
+            self._samples_by_service,
+            self._evidence_by_service,
+            self._callers_by_service,
+        ):
+            for service in (
+                state_by_service.keys() - self._priorities_by_service
+            ):
+                del state_by_service[service]
+        self._admitted_at.clear()
+
+    def decide(
+        self,
+        service: str,
+        priority: int,
+        caller: int,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Return whether a new flow may be opened.
+
+        Parameters
+        ----------
+        service : str
+            Service of the flow.
+        priority : int
+            Priority of its route; 0 is the highest.
+        caller : int
+            Source address.
+        now : datetime.timedelta
+            Current time.
+        """
+        if service not in self._priorities_by_service:
+            return True
+        # Callers are counted before the overload, which they may cause.
+        callers = self._callers_by_service.get(service)
+        if callers is None:
+            callers = self._callers_by_service[service] = (
+                caller_counts.CallerCounts(
+                    self._settings.caller_window, self._settings.max_callers
+                )
+            )
+        openings = callers.add(caller, now)
+        evidence = self._evidence(service, now)
+        if evidence.overloaded:
+            share = evidence.shares_by_priority.get(priority, 1.0)
+            share *= self._share_of_caller(openings, callers)
+            if share < 1.0 and self._random.random() >= share:
+                return False
+        self._admitted_at[service, priority] = now
+        return True
+
+    def evidence_of(self, service: str) -> Evidence | None:
+        """Return what the latest decision about a service rested on."""
+        return self._evidence_by_service.get(service)
+
+    def is_behind_lower(
+        self, service: str, priority: int, now: datetime.timedelta
+    ) -> bool:
+        """Return whether less important openings were admitted just now."""
+        since = now - self._settings.refresh_interval
+        return any(
+            self._admitted_at.get((service, other), since) > since
+            for other in self._priorities_by_service.get(service, ())
+            if other > priority
+        )
+
+    def _share_of_caller(
+        self, openings: int, callers: caller_counts.CallerCounts
+    ) -> float:
+        settings = self._settings
+        if openings <= settings.caller_minimum:
+            return 1.0
+        limit = max(
+            settings.caller_minimum, settings.caller_share * callers.mean
+        )
+        return min(1.0, limit / openings)
+
+    def _evidence(self, service: str, now: datetime.timedelta) -> Evidence:
+        evidence = self._evidence_by_service.get(service)
+        if (
+            evidence is None
+            or now - evidence.computed_at >= self._settings.refresh_interval
+        ):
+            evidence = self._compute(service, now)
+            self._evidence_by_service[service] = evidence
+        return evidence
+
+    def _compute(self, service: str, now: datetime.timedelta) -> Evidence:
+        if not self._picture.is_fresh(now):
+            self._samples_by_service.pop(service, None)
+            return Evidence(now)
+        samples = self._samples_by_service.setdefault(
+            service, collections.deque()
+        )
+        sample = self._take_sample(service, now)
+        samples.append(sample)
+        while samples[0].taken_at < now - self._settings.window:
+            samples.popleft()
+        full = sample.in_progress >= self._settings.start_load * sample.limit
+        refusing = any(item.refused for item in samples)
+        offered = sum(sample.openings_by_priority.values())
+        overloaded = sample.limit > 0 and (full or refusing)
+        admitted = self._openings_to_admit(samples) if overloaded else offered
+        return Evidence(
+            now,
+            overloaded and admitted < offered,
+            self._divide(service, sample, admitted),
+            offered,
+            admitted,
+            sample.in_progress,
+            sample.limit,
+            sample.free_upstreams,
+        )
+
+    def _take_sample(self, service: str, now: datetime.timedelta) -> _Sample:
+        in_progress = open_flows = started = finished = free = 0
+        total = 0.0
+        for entry in self._list_upstreams(service, now):
+            capacity = self._capacity.estimate(entry.upstream_id, now)
+            limit = float(max(1, entry.upstream.slots))
+            if capacity.known:
+                limit = capacity.limit
+            load = self._picture.load_of(entry.upstream_id, now)
+            total += limit
+            if load is None:
+                free += 1
+                continue
+            free += load.in_progress < limit
+            in_progress += load.in_progress
+            open_flows += load.open_flows
+            started += load.started
+            finished += load.finished
+        interval = self._picture.interval
+        demands = self._picture.demand_of(service, now)
+        return _Sample(
+            now,
+            in_progress,
+            total,
+            open_flows,
+            started / interval,
+            finished / interval,
+            free,
+            {key: item.openings_per_s for key, item in demands.items()},
+            {key: item.refused_per_s for key, item in demands.items()},
+        )
+
+    def _openings_to_admit(
+        self, samples: collections.abc.Sequence[_Sample]
+    ) -> float:
+        """Return the openings a second that the upstreams take."""
+        first, last = samples[0], samples[-1]
+        count = len(samples)
+        opened = sum(item.opened for item in samples) / count
+        elapsed = (last.taken_at - first.taken_at).total_seconds()
+        growth = 0.0
+        if elapsed:
+            growth = (last.open_flows - first.open_flows) / elapsed
+        ended = max(0.0, opened - growth)
+        settling_s = self._settings.settling_time.total_seconds()
+        # Flows of one request are gone before the picture shows them.
+        flows = max(float(last.open_flows), ended * settling_s / 2)
+        return ended + flows * self._spare_load(samples) / settling_s
+
+    def _spare_load(
+        self, samples: collections.abc.Sequence[_Sample]
+    ) -> float:
+        """Return the room for further load, relative to the present one."""
+        last = samples[-1]
+        if last.in_progress < last.limit:
+            return 1.0 - last.in_progress / last.limit + _HEADROOM
+        started = sum(item.started for item in samples)
+        finished = sum(item.finished for item in samples)
+        if not finished:
+            return -1.0
+        rate = finished / len(samples)
+        queue = last.in_progress - self._settings.target_load * last.limit
+        queue_s = self._settings.queue_time.total_seconds()
+        return max(-1.0, 1.0 - started / finished - queue / rate / queue_s)
+
+    def _divide(
+        self, service: str, sample: _Sample, admitted: float
+    ) -> dict[int, float]:
+        """Return the shares of the priorities, the most important first.
+
+        The most important openings are never refused for their priority:
+        single requests of theirs replace no long flow, and an upstream that
+        is full rejects them itself.
+        """
+        shares_by_priority = {}
+        floor = self._settings.min_share * max(0.0, admitted)
+        left = admitted
+        for number, priority in enumerate(
+            self._priorities_by_service[service]
+        ):
+            offered = sample.openings_by_priority.get(priority, 0.0)
+            share = 1.0
+            if number and offered:
+                share = min(1.0, max(left, floor) / offered)
+            shares_by_priority[priority] = share
+            left -= share * offered
+        return shares_by_priority
