--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -19,37 +19,6 @@
 from acaciamoor.admission import caller_counts
 from acaciamoor.admission import settings as admission_settings
 
-# Additional load that is tried while the upstreams are not full, so that the
-# requests in progress rise to their target.
-_HEADROOM = 0.05
-
-
-class DemandRate(typing.Protocol):
-    """Openings a second for a service over routes of one priority."""
-
-    openings_per_s: float
-    refused_per_s: float
-
-
-class LoadPicture(typing.Protocol):
-    """What a host knows of the load of all hosts."""
-
-    revision: int
-    interval: float
-
-    def is_fresh(self, now: datetime.timedelta) -> bool:
-        """Return whether decisions may rest on the picture."""
-
-    def load_of(
-        self, upstream_id: model.UpstreamId, now: datetime.timedelta
-    ) -> load_reports.UpstreamLoad | None:
-        """Return the load of an upstream; None if nothing is known."""
-
-    def demand_of(
-        self, service: str, now: datetime.timedelta
-    ) -> collections.abc.Mapping[int, DemandRate]:
-        """Return the demand for a service by priority."""
-
 
 class Capacity(typing.Protocol):
     """What an upstream takes."""
@@ -79,7 +48,9 @@
     Parameters
     ----------
     computed_at : datetime.timedelta
-        Time at which the picture was evaluated.
+        Time at which the reports of the picture were taken.
+    revision : int
+        Revision of the picture; 0 without a fresh one.
     overloaded : bool
         Whether openings are refused.
     shares_by_priority : Mapping
@@ -97,6 +68,7 @@
     """
 
     computed_at: datetime.timedelta
+    revision: int = 0
     overloaded: bool = False
     shares_by_priority: collections.abc.Mapping[int, float] = {}
     demand: float = 0.0
@@ -115,6 +87,7 @@
     open_flows: int
     started: float
     finished: float
+    rejected: float
     free_upstreams: int
     openings_by_priority: dict[int, float]
     refused_by_priority: dict[int, float]
@@ -158,7 +131,7 @@
 
     def __init__(
         self,
-        picture: LoadPicture,
+        picture: load_reports.LoadPicture,
         capacity: CapacityEstimator,
         list_upstreams: ListUpstreams,
         random_source: random.Random,
@@ -176,6 +149,10 @@
         self._callers_by_service: dict[str, caller_counts.CallerCounts] = {}
         # When this host last admitted an opening, by service and priority.
         self._admitted_at: dict[tuple[str, int], datetime.timedelta] = {}
+        # Revision of the picture in use, 0 if it is old, and when to look
+        # again.
+        self._revision = 0
+        self._check_at = datetime.timedelta(0)
 
     def update_routes(self, table: directory.RouteTable | None) -> None:
         """Take over the priorities of the routes in force."""
@@ -270,17 +247,19 @@
         return min(1.0, limit / openings)
 
     def _evidence(self, service: str, now: datetime.timedelta) -> Evidence:
+        if now >= self._check_at:
+            self._check_at = now + self._settings.refresh_interval
+            self._revision = 0
+            if self._picture.is_fresh(now):
+                self._revision = self._picture.revision
         evidence = self._evidence_by_service.get(service)
-        if (
-            evidence is None
-            or now - evidence.computed_at >= self._settings.refresh_interval
-        ):
+        if evidence is None or evidence.revision != self._revision:
             evidence = self._compute(service, now)
             self._evidence_by_service[service] = evidence
         return evidence
 
     def _compute(self, service: str, now: datetime.timedelta) -> Evidence:
-        if not self._picture.is_fresh(now):
+        if not self._revision:
             self._samples_by_service.pop(service, None)
             return Evidence(now)
         samples = self._samples_by_service.setdefault(
@@ -288,15 +267,20 @@
         )
         sample = self._take_sample(service, now)
         samples.append(sample)
-        while samples[0].taken_at < now - self._settings.window:
+        settings = self._settings
+        while samples[0].taken_at < sample.taken_at - settings.window:
             samples.popleft()
-        full = sample.in_progress >= self._settings.start_load * sample.limit
+        full = (
+            sample.in_progress >= settings.start_load * sample.limit
+            or sample.rejected > settings.max_rejected * sample.started
+        )
         refusing = any(item.refused for item in samples)
         offered = sum(sample.openings_by_priority.values())
         overloaded = sample.limit > 0 and (full or refusing)
         admitted = self._openings_to_admit(samples) if overloaded else offered
         return Evidence(
-            now,
+            sample.taken_at,
+            self._revision,
             overloaded and admitted < offered,
             self._divide(service, sample, admitted),
             offered,
@@ -307,7 +291,8 @@
         )
 
     def _take_sample(self, service: str, now: datetime.timedelta) -> _Sample:
-        in_progress = open_flows = started = finished = free = 0
+        in_progress = open_flows = free = 0
+        started = finished = rejected = 0
         total = 0.0
         for entry in self._list_upstreams(service, now):
             capacity = self._capacity.estimate(entry.upstream_id, now)
@@ -324,15 +309,17 @@
             open_flows += load.open_flows
             started += load.started
             finished += load.finished
-        interval = self._picture.interval
+            rejected += load.rejected
+        interval = self._picture.interval.total_seconds()
         demands = self._picture.demand_of(service, now)
         return _Sample(
-            now,
+            now - (self._picture.age(now) or datetime.timedelta(0)),
             in_progress,
             total,
             open_flows,
             started / interval,
             finished / interval,
+            rejected / interval,
             free,
             {key: item.openings_per_s for key, item in demands.items()},
             {key: item.refused_per_s for key, item in demands.items()},
@@ -360,16 +347,20 @@
     ) -> float:
         """Return the room for further load, relative to the present one."""
         last = samples[-1]
-        if last.in_progress < last.limit:
-            return 1.0 - last.in_progress / last.limit + _HEADROOM
+        settings = self._settings
         started = sum(item.started for item in samples)
         finished = sum(item.finished for item in samples)
         if not finished:
-            return -1.0
-        rate = finished / len(samples)
-        queue = last.in_progress - self._settings.target_load * last.limit
-        queue_s = self._settings.queue_time.total_seconds()
-        return max(-1.0, 1.0 - started / finished - queue / rate / queue_s)
+            return -1.0 if started else 1.0
+        rejected = sum(item.rejected for item in samples) / max(1.0, started)
+        load = last.in_progress / last.limit
+        spare = (
+            1.0
+            - started / finished
+            + settings.queue_gain * (1.0 - load / settings.target_load)
+            + max(0.0, 1.0 - load)
+        )
+        return max(-1.0, min(spare, settings.max_rejected - rejected))
 
     def _divide(
         self, service: str, sample: _Sample, admitted: float
--- a/acaciamoor/admission/settings.py
+++ b/acaciamoor/admission/settings.py
@@ -31,8 +31,8 @@
         Part of the admitted openings that each less important priority keeps
         at least. The more important ones lose as much at most.
     refresh_interval : datetime.timedelta
-        Minimum time between two computations of the shares. Reports are
-        taken every 200 ms.
+        Time between two looks at the picture. Reports are taken every
+        200 ms.
     caller_window : datetime.timedelta
         Time for which openings of a caller are counted.
     caller_share : float
@@ -45,10 +45,11 @@
         Callers that are counted in a host.
     """
 
-    start_load: float = 0.95
-    target_load: float = 1.5
+    start_load: float = 2.0
+    target_load: float = 2.5
     settling_time: datetime.timedelta = datetime.timedelta(seconds=1)
-    queue_time: datetime.timedelta = datetime.timedelta(seconds=2)
+    queue_gain: float = 0.1
+    max_rejected: float = 0.1
     window: datetime.timedelta = datetime.timedelta(seconds=1)
     min_share: float = 0.01
     refresh_interval: datetime.timedelta = datetime.timedelta(milliseconds=100)
