--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -342,9 +342,7 @@
         flows = max(float(last.open_flows), ended * settling_s / 2)
         return ended + flows * self._spare_load(samples) / settling_s
 
-    def _spare_load(
-        self, samples: collections.abc.Sequence[_Sample]
-    ) -> float:
+    def _spare_load(self, samples: collections.abc.Sequence[_Sample]) -> float:
         """Return the room for further load, relative to the present one."""
         last = samples[-1]
         settings = self._settings
@@ -352,15 +350,18 @@
         finished = sum(item.finished for item in samples)
         if not finished:
             return -1.0 if started else 1.0
-        rejected = sum(item.rejected for item in samples) / max(1.0, started)
+        rejected = sum(item.rejected for item in samples)
         load = last.in_progress / last.limit
         spare = (
             1.0
-            - started / finished
+            - (started - rejected) / finished
             + settings.queue_gain * (1.0 - load / settings.target_load)
             + max(0.0, 1.0 - load)
         )
-        return max(-1.0, min(spare, settings.max_rejected - rejected))
+        return max(
+            -1.0,
+            min(spare, settings.max_rejected - rejected / max(1.0, started)),
+        )
 
     def _divide(
         self, service: str, sample: _Sample, admitted: float
--- a/acaciamoor/admission/settings.py
+++ b/acaciamoor/admission/settings.py
@@ -12,19 +12,26 @@
     ----------
     start_load : float
         Requests in progress, relative to the sum of the limits, from which
-        openings are refused. At the usual 0.55 of 120 slots the standard
-        deviation is 0.07, so that chance does not reach this load.
+        openings are refused. Four fifths of the target: the load rises
+        further while the picture is on its way. At the usual 0.55 of 120
+        slots the standard deviation is 0.07.
     target_load : float
         Requests in progress, relative to the sum of the limits, while
-        openings are refused. Some requests must wait at upstreams, or slots
-        stay idle between two of them.
+        openings are refused. A request then takes 3.5 times its run time of
+        32 ms, less than the usual goal of 150 ms. Below that, slots stay
+        idle where flows are spread unevenly (2.5: 0.08 less worth).
     settling_time : datetime.timedelta
         Time in which the open flows are brought to the number that the
         upstreams take. It is longer than twice the age of the picture, 0.4 s;
         shorter ones let the load oscillate.
-    queue_time : datetime.timedelta
-        Time in which the excess of waiting requests is worked off. Twice the
-        settling time, as the load must follow first.
+    queue_gain : float
+        Relative change of the load for a relative distance from the target.
+        0.2 left the load 0.1 below the target at the end of a crest; 0.8
+        gained nothing.
+    max_rejected : float
+        Share of requests that upstreams reject from which openings are
+        refused, whatever is in progress: an upstream may have no queue.
+        Callers return twice, so that 0.3 leaves 0.03 of them unserved.
     window : datetime.timedelta
         Time over which rates are averaged.
     min_share : float
@@ -34,7 +41,8 @@
         Time between two looks at the picture. Reports are taken every
         200 ms.
     caller_window : datetime.timedelta
-        Time for which openings of a caller are counted.
+        Time for which openings of a caller are counted. Each of 75 hosts
+        sees few of them, so it is many times that of a return.
     caller_share : float
         Openings of a caller above which it is refused in overload, relative
         to the mean of all callers.
@@ -45,15 +53,15 @@
         Callers that are counted in a host.
     """
 
-    start_load: float = 2.0
-    target_load: float = 2.5
+    start_load: float = 2.8
+    target_load: float = 3.5
     settling_time: datetime.timedelta = datetime.timedelta(seconds=1)
-    queue_gain: float = 0.1
-    max_rejected: float = 0.1
+    queue_gain: float = 0.4
+    max_rejected: float = 0.3
     window: datetime.timedelta = datetime.timedelta(seconds=1)
     min_share: float = 0.01
     refresh_interval: datetime.timedelta = datetime.timedelta(milliseconds=100)
-    caller_window: datetime.timedelta = datetime.timedelta(seconds=1)
+    caller_window: datetime.timedelta = datetime.timedelta(seconds=5)
     caller_share: float = 4.0
     caller_minimum: int = 3
-    max_callers: int = 512
+    max_callers: int = 2048
--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 
+from acaciamoor import admission as admissions
 from acaciamoor import directory as directories
 from acaciamoor import hashing
 from acaciamoor import load_reports
@@ -39,6 +40,11 @@
         Source of randomness for ties between upstreams.
     load_collector : LoadCollector or None
         Counts the load that passes this host, for its reports.
+
+    Attributes
+    ----------
+    admission : AdmissionController or None
+        Refuses less important flows in overload; None if all are admitted.
     """
 
     def __init__(
@@ -63,6 +69,7 @@
             demand_tracker,
             load_collector=self.load_collector,
         )
+        self.admission: admissions.AdmissionController | None = None
         self._observations: list[effects.Observation] = []
         # Services without upstreams, and since when.
         self._empty_since_by_service: dict[str, datetime.timedelta] = {}
@@ -229,10 +236,13 @@
             self._pending.pop(opening.key)
             return _OUTDATED
         candidates = self._candidates(opening, now)
+        if candidates and not self._admit(opening, route, now):
+            return self._refuse_overload(opening, route, now)
         entry = self.placer.choose(
             candidates, route.kind, opening.tried_ids, now
         )
         if entry is None:
+            self._observe_wait(opening, route, now)
             return self._handle_empty_service(opening, now)
         self._empty_since_by_service.pop(opening.service, None)
         if not opening.tried_ids:
@@ -254,6 +264,67 @@
             ),
         )
 
+    def _admit(
+        self,
+        opening: openings.Opening,
+        route: directories.Route,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Return whether a flow may be opened, as far as load is concerned.
+
+        Only a first copy that no upstream has seen can be refused.
+        """
+        admission = self.admission
+        if (
+            admission is None
+            or opening.admitted
+            or not _is_refusable(opening, now)
+        ):
+            return True
+        admission.update_routes(self._directory.table)
+        opening.admitted = admission.decide(
+            opening.service, route.priority, opening.key[0], now
+        )
+        return opening.admitted
+
+    def _refuse_overload(
+        self,
+        opening: openings.Opening,
+        route: directories.Route,
+        now: datetime.timedelta,
+    ) -> effects.Refusal:
+        self._pending.pop(opening.key)
+        service, priority = opening.service, route.priority
+        self.load_collector.add_demand(service, priority, refused=True)
+        evidence = self.admission.evidence_of(service)
+        return effects.Refusal(
+            opening.key,
+            effects.RefusalReason.OVERLOAD,
+            effects.Overload(
+                service,
+                priority,
+                evidence,
+                now - evidence.computed_at,
+                self.admission.is_behind_lower(service, priority, now),
+            ),
+        )
+
+    def _observe_wait(
+        self,
+        opening: openings.Opening,
+        route: directories.Route,
+        now: datetime.timedelta,
+    ) -> None:
+        """Record an important flow that waits behind less important ones."""
+        if self.admission is not None and self.admission.is_behind_lower(
+            opening.service, route.priority, now
+        ):
+            self._observations.append(
+                effects.ImportantFlowWaits(
+                    opening.key, opening.service, route.priority
+                )
+            )
+
     def _handle_empty_service(
         self,
         opening: openings.Opening,
--- a/acaciamoor/forwarder/effects.py
+++ b/acaciamoor/forwarder/effects.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from acaciamoor import admission
 from acaciamoor import model
 from acaciamoor.openings import pending
 
@@ -31,6 +32,8 @@
     NO_UPSTREAM = 'no_upstream'
     # All upstreams of the service are in evacuated data centres.
     EVACUATED = 'evacuated'
+    # The service is overloaded, and the route is less important than others.
+    OVERLOAD = 'overload'
 
 
 class WaitReason(enum.Enum):
@@ -94,11 +97,36 @@
     suspects: int
 
 
+class Overload(msgspec.Struct, frozen=True):
+    """Why a flow was refused for the overload of a service.
+
+    Parameters
+    ----------
+    service : str
+        Service of the flow.
+    priority : int
+        Priority of its route.
+    evidence : Evidence
+        Demand and capacity.
+    age : datetime.timedelta
+        Age of the reports that it rests on.
+    behind_lower : bool
+        Whether less important flows were admitted just before.
+    """
+
+    service: str
+    priority: int
+    evidence: admission.Evidence
+    age: datetime.timedelta
+    behind_lower: bool
+
+
 class Refusal(msgspec.Struct, frozen=True):
     """Decision to reset a flow that cannot be opened."""
 
     key: pending.FlowKey
     reason: RefusalReason
+    overload: Overload | None = None
 
 
 class Wait(msgspec.Struct, frozen=True):
@@ -138,4 +166,17 @@
     duration: datetime.timedelta
 
 
-Observation = UpstreamSuspected | SuspicionCleared | HandshakeCompleted
+class ImportantFlowWaits(msgspec.Struct, frozen=True):
+    """A flow waits although less important ones were just admitted."""
+
+    key: pending.FlowKey
+    service: str
+    priority: int
+
+
+Observation = (
+    UpstreamSuspected
+    | SuspicionCleared
+    | HandshakeCompleted
+    | ImportantFlowWaits
+)
--- a/acaciamoor/forwarder/shell/observer.py
+++ b/acaciamoor/forwarder/shell/observer.py
@@ -64,6 +64,19 @@
             'acaciamoor_forwarder_suspicions_total',
             'Upstreams that did not answer an opening packet.',
         )
+        self.overload_refusals = exposition.Counter(
+            'acaciamoor_forwarder_overload_refusals_total',
+            'Flows that were refused because their service is overloaded.',
+        )
+        self.refusals_beside_room = exposition.Counter(
+            'acaciamoor_forwarder_refusals_beside_room_total',
+            'The same while the picture showed an upstream with room.',
+        )
+        self.priority_inversions = exposition.Counter(
+            'acaciamoor_forwarder_priority_inversions_total',
+            'Flows that were refused or waited while less important ones were '
+            'admitted.',
+        )
         self.handshakes = exposition.Histogram(
             'acaciamoor_forwarder_handshake_seconds',
             'Time from an opening packet to the next packet of its flow.',
@@ -78,6 +91,9 @@
             self.unsent,
             self.failures,
             self.suspicions,
+            self.overload_refusals,
+            self.refusals_beside_room,
+            self.priority_inversions,
             self.handshakes,
         )
 
@@ -99,6 +115,9 @@
     def record_refusal(self, refusal: effects.Refusal) -> None:
         """Record a refused flow."""
         self.packets.add(outcome='refused', reason=refusal.reason.value)
+        if refusal.overload is not None:
+            self._record_overload(refusal.key, refusal.overload)
+            return
         self._log(
             bounded.LogCategory.FAILURE,
             'flow refused',
@@ -106,6 +125,47 @@
             reason=refusal.reason.value,
         )
 
+    def _record_overload(
+        self, key: pending.FlowKey, overload: effects.Overload
+    ) -> None:
+        labels = {
+            'service': overload.service,
+            'priority': str(overload.priority),
+        }
+        evidence = overload.evidence
+        self.overload_refusals.add(**labels)
+        if evidence.free_upstreams:
+            self.refusals_beside_room.add(**labels)
+        if overload.behind_lower:
+            self.priority_inversions.add(**labels, outcome='refused')
+        self._log(
+            bounded.LogCategory.FAILURE,
+            'flow refused',
+            key,
+            reason=effects.RefusalReason.OVERLOAD.value,
+            service=overload.service,
+            priority=overload.priority,
+            demand_per_s=round(evidence.demand),
+            admitted_per_s=round(evidence.admitted),
+            in_progress=evidence.in_progress,
+            limit=round(evidence.limit),
+            free_upstreams=evidence.free_upstreams,
+            picture_age_ms=round(overload.age / _MS),
+        )
+
+    def record_important_wait(self, wait: effects.ImportantFlowWaits) -> None:
+        """Record a flow that waits while less important ones are admitted."""
+        self.priority_inversions.add(
+            service=wait.service, priority=str(wait.priority), outcome='waited'
+        )
+        self._log(
+            bounded.LogCategory.FAILURE,
+            'important flow waits',
+            wait.key,
+            service=wait.service,
+            priority=wait.priority,
+        )
+
     def record_wait(
         self, wait: effects.Wait, key: pending.FlowKey | None
     ) -> None:
@@ -236,3 +296,10 @@
     observation: effects.SuspicionCleared, observer: Observer
 ) -> None:
     observer.record_clearance(observation)
+
+
+@_record.register
+def _record_important_wait(
+    observation: effects.ImportantFlowWaits, observer: Observer
+) -> None:
+    observer.record_important_wait(observation)
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from acaciamoor import admission
 from acaciamoor import clock as clocks
 from acaciamoor import directory as directories
 from acaciamoor import load_reports
@@ -129,6 +130,12 @@
                 random_source.getrandbits(_INCARNATION_BITS),
             ),
         )
+        self._core.admission = admission.AdmissionController(
+            self._load_picture,
+            self._core.placer.estimator,
+            self._directory.candidates,
+            random_source,
+        )
         self._observer = observer.Observer(clock, self._get_sync_status)
         self._driver = drivers.Driver(
             self._core,
--- a/acaciamoor/load/scenarios/crowd_model.py
+++ b/acaciamoor/load/scenarios/crowd_model.py
@@ -16,10 +16,12 @@
 from acaciamoor import admission
 from acaciamoor import directory
 from acaciamoor import load_reports
+from acaciamoor import openings
+from acaciamoor import tokens
 from acaciamoor.load.scenarios import opening_model
 from acaciamoor.load.scenarios import site_model
 from acaciamoor.load.scenarios import site_patterns
-from acaciamoor import tokens
+from acaciamoor.load.scenarios import site_placements
 
 # Priorities, worth and mean work of the kinds, long flows being the less
 # important ones; see docs/parts.md, part 5.
@@ -30,18 +32,17 @@
 _LONG_SHARE = 0.75
 # Mean of `opening_model.draw_run_time`, with its stragglers, in seconds.
 _MEAN_RUN_TIME_S = opening_model.RUN_TIME_MEAN_S * (
-    1
-    + opening_model.STRAGGLER_SHARE * (opening_model.STRAGGLER_FACTOR - 1)
+    1 + opening_model.STRAGGLER_SHARE * (opening_model.STRAGGLER_FACTOR - 1)
 )
-# Times of reports and of their way to the hosts, in seconds.
-REPORT_INTERVAL_S = 0.2
-_SUMMARY_DELAY_S = (0.1, 0.3)
-# Time after which a caller returns whose opening or request was refused.
-_RETURN_AFTER_S = (0.0, 0.4)
+# Maximum time after which a caller returns whose opening or request was
+# refused, in seconds.
+_MAX_RETURN_S = 0.4
 # Time after which an answer is useless to its caller, in seconds.
 _DEADLINE_S = 1.0
+# Wait after which the oracle leaves out a request whose run time it does not
+# know. Of waits from 0.3 to 0.95 s it gave the most worth at twice the slots.
+_ORACLE_WAIT_S = 0.9
 _SECOND = datetime.timedelta(seconds=1)
-_DATA_CENTRE = opening_model.data_centre_of(0, 1)
 
 
 class Admission(typing.Protocol):
@@ -57,22 +58,6 @@
         """Return whether a new flow may be opened."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _KnownSlots:
-    limit: float = opening_model.SLOTS
-    known: bool = True
-
-
-class SlotCapacity:
-    """Capacity of upstreams that take as many requests as they have slots."""
-
-    def estimate(
-        self, upstream_id: str, now: datetime.timedelta
-    ) -> _KnownSlots:
-        """Return what an upstream takes."""
-        return _KnownSlots()
-
-
 class RandomRefusal:
     """Baseline: refuses all kinds alike, in proportion to the excess."""
 
@@ -104,46 +89,76 @@
         )
 
 
-class PicturePlacement:
-    """Chooses the less loaded of two upstreams by the shared picture.
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SlotCapacity:
+    limit: float = opening_model.SLOTS
+    known: bool = True
+
+
+class _KnownSlots:
+    """Capacity of upstreams that take as many requests as they have slots."""
+
+    def estimate(
+        self, upstream_id: str, now: datetime.timedelta
+    ) -> _SlotCapacity:
+        return _SlotCapacity()
+
+
+class CrowdPlacement(site_placements.SharedLoadPlacement):
+    """The placement of the product, with a picture for each host.
 
-    A host counts its own openings since the picture as well.
+    Summaries reach the hosts at different times, so hosts disagree for a while.
     """
 
-    def __init__(self, pictures, seed: int) -> None:
-        self._pictures = pictures
+    def __init__(self, pattern: site_patterns.SitePattern, seed: int) -> None:
+        self.pictures: list[load_reports.LoadPicture] = []
+        self.capacities: list[admission.CapacityEstimator] = []
         self._rng = random.Random(seed)
-        self._own_counts = [collections.Counter() for _ in pictures]
-        self.detectors = [_NoDetector()] * len(pictures)
+        super().__init__(pattern, seed)
+
+    def new_placer(self, *arguments) -> openings.OpeningPlacer:
+        """Return the placer of a host."""
+        picture = load_reports.LoadPicture(arguments[0])
+        placer = self.placer_class(*arguments, picture=picture)
+        self.pictures.append(picture)
+        self.capacities.append(placer.estimator)
+        return placer
+
+
+class RandomCrowdPlacement(CrowdPlacement):
+    """Any upstream alike, which needs no picture and no measurement."""
+
+    def new_placer(self, *arguments) -> openings.OpeningPlacer:
+        """Return the placer of a host."""
+        placer = super().new_placer(*arguments)
+        self.capacities[-1] = _KnownSlots()
+        return placer
 
     def choose(self, host, candidates, excluded, now):
         """Return the upstream for a new flow."""
-        chosen = min(
-            self._rng.sample(candidates, 2),
-            key=lambda entry: self._load(host, entry.upstream_id, now),
-        )
-        self._own_counts[host][chosen.upstream_id] += 1
-        return chosen
+        return self._rng.choice(candidates)
 
-    def _load(self, host: int, upstream_id: str, now: float) -> float:
-        load = self._pictures[host].load_of(upstream_id, now * _SECOND)
-        own = self._own_counts[host][upstream_id]
-        return own + (load.open_flows + 3 * load.in_progress if load else 0)
 
-    def clear_own(self, host: int) -> None:
-        """Forget the own openings that the newest picture contains."""
-        self._own_counts[host].clear()
+class LiveCrowdPlacement(RandomCrowdPlacement):
+    """The less loaded of two upstreams, without the age of the picture.
 
-    def begin_request(self, host: int, upstream_id: str, now: float) -> None:
-        """Record that a host forwards a request."""
+    Hosts cannot do that; it separates the admission from the placement.
+    """
 
-    def end_request(self, host, upstream_id, now, seconds) -> None:
-        """Record that a request ends."""
+    def choose(self, host, candidates, excluded, now):
+        """Return the upstream for a new flow."""
+        (counts_by_id,) = self._counts
+        return min(
+            self._rng.sample(candidates, 2),
+            key=lambda entry: counts_by_id[entry.upstream_id]['in_progress'],
+        )
 
 
-class _NoDetector:
-    def record_answer(self, upstream_id: str) -> None:
-        """All upstreams of this model answer."""
+PLACEMENTS_BY_NAME = {
+    'product': CrowdPlacement,
+    'random': RandomCrowdPlacement,
+    'live': LiveCrowdPlacement,
+}
 
 
 @dataclasses.dataclass(slots=True)
@@ -153,7 +168,10 @@
     Parameters
     ----------
     worth : float
-        Worth of all requests of the crest that were served.
+        Worth of the requests sent in the crest that were served, also after
+        it.
+    worth_in_crest : float
+        Worth of the requests that were served until the end of the crest.
     important_by_second : list of float
         Share of the important requests of each second that were served.
     less_important : float
@@ -177,6 +195,7 @@
     """
 
     worth: float
+    worth_in_crest: float
     important_by_second: list[float]
     less_important: float
     worst_less_important: float
@@ -210,34 +229,28 @@
     """
 
     _long_share = _LONG_SHARE
+    _max_retry_delay_s = _MAX_RETURN_S
 
     def __init__(
         self,
         pattern: site_patterns.SitePattern,
         seed: int,
         variant: str,
+        placement: str = 'random',
         greedy_rate: float = 0.0,
     ) -> None:
-        self._pictures = [
-            load_reports.LoadPicture(_DATA_CENTRE)
-            for _ in range(pattern.hosts)
-        ]
         super().__init__(
-            PicturePlacement(self._pictures, seed), pattern, seed
+            PLACEMENTS_BY_NAME[placement](pattern, seed), pattern, seed
         )
         self._admissions = [
-            self._new_admission(variant, picture, random.Random(seed + host))
-            for host, picture in enumerate(self._pictures)
+            self._new_admission(variant, host, random.Random(seed + host))
+            for host in range(pattern.hosts)
         ]
         self._greedy_rate = greedy_rate
-        self._loads_by_id = {
-            entry.upstream_id: collections.Counter() for entry in self._entries
-        }
         self._demands_by_priority = {
             priority: collections.Counter()
             for priority in (IMPORTANT, LESS_IMPORTANT)
         }
-        self._serial = 0
         self._served_by_second = collections.Counter()
         self._offered_by_second = collections.Counter()
         self._counts = collections.Counter()
@@ -245,19 +258,21 @@
 
     def run(self) -> CrowdOutcome:
         """Replay the pattern; return what callers got."""
-        self._schedule(REPORT_INTERVAL_S, self._report)
         if self._greedy_rate:
-            self._schedule(
-                site_patterns.CROWD_START_S, self._open_greedy_flow
-            )
+            self._schedule(site_patterns.CROWD_S[0], self._open_greedy_flow)
         return super().run()
 
-    def _new_admission(self, variant, picture, rng) -> Admission | None:
+    def _new_admission(self, variant, host, rng) -> Admission | None:
+        placement = self._placement
+        picture = placement.pictures[host]
         if variant == 'random':
             return RandomRefusal(picture, self._list_upstreams, rng)
         if variant == 'controller':
             controller = admission.AdmissionController(
-                picture, SlotCapacity(), self._list_upstreams, rng
+                picture,
+                placement.capacities[host],
+                self._list_upstreams,
+                rng,
             )
             controller.update_routes(_route_table())
             return controller
@@ -267,48 +282,32 @@
         return self._entries
 
     def _report(self, now: float) -> None:
-        """Take the reports of all hosts, and send their sum to each."""
-        if now < self._pattern.end_s:
-            self._schedule(now + REPORT_INTERVAL_S, self._report)
-        self._serial += 1
-        summary = load_reports.LoadSummary(
-            _DATA_CENTRE,
-            'h-1',
-            1,
-            self._serial,
-            self._pattern.hosts,
-            0.0,
-            REPORT_INTERVAL_S,
-            [
-                load_reports.UpstreamLoad(upstream_id, **counts)
-                for upstream_id, counts in self._loads_by_id.items()
-            ],
-            [
-                load_reports.ServiceDemand(
-                    opening_model.SERVICE,
-                    priority,
-                    counts['openings'],
-                    counts['refused'],
-                )
-                for priority, counts in self._demands_by_priority.items()
-            ],
-        )
-        for counts in self._loads_by_id.values():
-            for name in ('started', 'finished', 'rejected', 'openings'):
-                counts[name] = 0
+        """Send the sum of the reports to each host."""
+        (summary,) = self._placement.take_reports(now)
+        demands = [
+            load_reports.ServiceDemand(
+                opening_model.SERVICE,
+                priority,
+                counts['openings'],
+                counts['refused'],
+            )
+            for priority, counts in self._demands_by_priority.items()
+        ]
         for counts in self._demands_by_priority.values():
             counts.clear()
-        for host in range(self._pattern.hosts):
-            delay = self._rng.uniform(*_SUMMARY_DELAY_S)
+        summary = msgspec.structs.replace(summary, demands=demands)
+        for picture in self._placement.pictures:
+            delay = self._report_rng.uniform(*site_placements.REPORT_DELAYS_S)
             self._schedule(
-                now + delay, self._receive_summary, host, summary, delay
+                now + delay,
+                self._receive_summary,
+                picture,
+                msgspec.structs.replace(summary, age=delay),
             )
+        self._schedule(now + site_placements.REPORT_INTERVAL_S, self._report)
 
-    def _receive_summary(self, now, host, summary, delay) -> None:
-        self._pictures[host].record(
-            msgspec.structs.replace(summary, age=delay), now * _SECOND
-        )
-        self._placement.clear_own(host)
+    def _receive_summary(self, now: float, picture, summary) -> None:
+        picture.record(summary, now * _SECOND)
 
     def _count(self, flow: site_model.Flow) -> None:
         super()._count(flow)
@@ -316,7 +315,7 @@
         self._offered_by_second[key] += 1
 
     def _open_greedy_flow(self, now: float) -> None:
-        if now < site_patterns.CROWD_END_S:
+        if now < site_patterns.CROWD_S[1]:
             self._schedule(
                 now + self._rng.expovariate(self._greedy_rate),
                 self._open_greedy_flow,
@@ -354,7 +353,7 @@
     def _record_refusal(self, now: float) -> None:
         self._counts['refused'] += 1
         self._counts['refused_after_crest'] += (
-            now > site_patterns.CROWD_END_S + 2.0
+            now > site_patterns.CROWD_S[1] + 2.0
         )
         self._counts['refused_beside_room'] += any(
             upstream.busy_slots < opening_model.SLOTS
@@ -367,36 +366,12 @@
             self._counts['greedy'] += flow.greedy
 
     def _send(self, now: float, flow: site_model.Flow) -> None:
-        counts = self._loads_by_id[flow.upstream_id]
-        counts['started'] += 1
-        counts['in_progress'] += 1
-        if not flow.counted:
-            flow.counted = True
-            counts['openings'] += 1
-            counts['open_flows'] += 1
         self._counts['arrivals'] += _in_crest(now)
         super()._send(now, flow)
 
     def _handle_shed(self, now: float, flow: site_model.Flow) -> None:
-        counts = self._loads_by_id[flow.upstream_id]
-        counts['rejected'] += 1
-        counts['in_progress'] -= 1
-        counts['open_flows'] -= 1
         self._counts['rejected'] += _in_crest(now)
-        self._placement.end_request(flow.host, flow.upstream_id, now, 0.0)
-        self._return_later(now, flow)
-
-    def _return_later(self, now: float, flow: site_model.Flow) -> None:
-        if flow.attempt < opening_model.MAX_ATTEMPTS:
-            self._schedule(
-                now + self._rng.uniform(*_RETURN_AFTER_S),
-                self._start_flow,
-                flow.data_centre,
-                flow.long,
-                flow.remaining_requests,
-                flow.first_sent_at,
-                flow.attempt + 1,
-            )
+        super()._handle_shed(now, flow)
 
     def _draw_run_time(self, flow: site_model.Flow) -> float:
         return super()._draw_run_time(flow) * (
@@ -405,13 +380,14 @@
 
     def _handle_answer(self, now, upstream, flow: site_model.Flow) -> None:
         self._busy_by_second[int(now)] += now - flow.running_since
-        counts = self._loads_by_id[flow.upstream_id]
-        counts['finished'] += 1
-        counts['in_progress'] -= 1
-        counts['open_flows'] -= flow.remaining_requests == 1
+        self._record_answer(now, flow)
+        super()._handle_answer(now, upstream, flow)
+
+    def _record_answer(self, now: float, flow: site_model.Flow) -> None:
         if now - flow.first_sent_at <= _DEADLINE_S and not flow.greedy:
             self._served_by_second[int(flow.first_sent_at), flow.long] += 1
-        super()._handle_answer(now, upstream, flow)
+            if _in_crest(now):
+                self._counts['answered'] += _WORTH_BY_LONG[flow.long]
 
     def _run_request(self, now, upstream, flow: site_model.Flow) -> None:
         flow.running_since = now
@@ -419,7 +395,7 @@
 
     def _outcome(self) -> CrowdOutcome:
         crest = range(
-            int(site_patterns.CROWD_START_S), int(site_patterns.CROWD_END_S)
+            int(site_patterns.CROWD_S[0]), int(site_patterns.CROWD_S[1])
         )
         served, offered = self._served_by_second, self._offered_by_second
         slots = opening_model.SLOTS * self._pattern.upstreams
@@ -432,6 +408,7 @@
                 for second in crest
                 for long, worth in _WORTH_BY_LONG.items()
             ),
+            self._counts['answered'],
             [
                 served[second, False] / offered[second, False]
                 for second in crest
@@ -455,8 +432,9 @@
     Requests that cannot be answered before their deadline are left out.
     """
 
-    def __init__(self, pattern, seed: int) -> None:
+    def __init__(self, pattern, seed: int, foresight: bool = False) -> None:
         super().__init__(pattern, seed, 'none')
+        self._foresight = foresight
         self._queue: list = []
         self._free = opening_model.SLOTS * pattern.upstreams
 
@@ -471,7 +449,12 @@
         while self._free and self._queue:
             _, sent_at, _, flow = heapq.heappop(self._queue)
             seconds = self._draw_run_time(flow)
-            if now + seconds - flow.first_sent_at > _DEADLINE_S:
+            wait = now - flow.first_sent_at
+            if (
+                wait + seconds > _DEADLINE_S
+                if self._foresight
+                else wait > _ORACLE_WAIT_S
+            ):
                 self._go_on(now, flow)
                 continue
             self._free -= 1
@@ -480,7 +463,7 @@
     def _finish(self, now, flow: site_model.Flow, started_at: float) -> None:
         self._free += 1
         self._busy_by_second[int(now)] += now - started_at
-        self._served_by_second[int(flow.first_sent_at), flow.long] += 1
+        self._record_answer(now, flow)
         self._go_on(now, flow)
         self._run_next(now)
 
@@ -492,7 +475,7 @@
 
 
 def _in_crest(now: float) -> bool:
-    return site_patterns.CROWD_START_S <= now < site_patterns.CROWD_END_S
+    return site_patterns.CROWD_S[0] <= now < site_patterns.CROWD_S[1]
 
 
 def _route_table() -> directory.RouteTable:
@@ -512,9 +495,16 @@
     variant: str,
     pattern: site_patterns.SitePattern,
     seed: int,
+    placement: str = 'random',
     greedy_rate: float = 0.0,
 ) -> CrowdOutcome:
-    """Replay a crowd: 'none', 'random', 'controller' or 'oracle'."""
-    if variant == 'oracle':
-        return OracleSimulation(pattern, seed).run()
-    return CrowdSimulation(pattern, seed, variant, greedy_rate).run()
+    """Replay a crowd: 'none', 'random', 'controller' or an oracle.
+
+    The oracle named 'foresight' also knows how long each request will run.
+    """
+    if variant in ('oracle', 'foresight'):
+        foresight = variant == 'foresight'
+        return OracleSimulation(pattern, seed, foresight).run()
+    return CrowdSimulation(
+        pattern, seed, variant, placement, greedy_rate
+    ).run()
--- a/acaciamoor/load/scenarios/site_model.py
+++ b/acaciamoor/load/scenarios/site_model.py
@@ -58,7 +58,9 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Flow:
+class Flow:
+    """A flow of a caller, or a later attempt to open it."""
+
     host: int
     data_centre: int
     long: bool
@@ -72,6 +74,11 @@
     retried: bool = False
     # Whether its first request has not been answered yet.
     new: bool = True
+    # For the model of a crowd: whether a host refused it, whether its caller
+    # opens far more flows than others, and since when its request runs.
+    refused: bool = False
+    greedy: bool = False
+    running_since: float = 0.0
 
 
 class SiteSimulation:
@@ -90,6 +97,11 @@
         Seed of arrivals and run times.
     """
 
+    # Maximum delay of a retry, in seconds.
+    _max_retry_delay_s = opening_model.MAX_RETRY_DELAY_S
+    # Share of the requests that belong to long flows.
+    _long_share = opening_model.LONG_FLOW_REQUEST_SHARE
+
     def __init__(
         self,
         placement: site_placements.OwnViewPlacement,
@@ -180,7 +192,7 @@
     ) -> None:
         if now >= demand.end_s:
             return
-        long_share = opening_model.LONG_FLOW_REQUEST_SHARE
+        long_share = self._long_share
         peak = demand.rate * (1.0 + demand.wave)
         short = (1 - long_share) * peak
         long = long_share * peak / opening_model.LONG_FLOW_REQUESTS
@@ -208,7 +220,7 @@
         host = data_centre + pattern.data_centres * self._rng.randrange(
             pattern.hosts // pattern.data_centres
         )
-        flow = _Flow(
+        flow = Flow(
             host, data_centre, is_long, requests, first_sent_at, attempt, now
         )
         if attempt == 1:
@@ -217,11 +229,11 @@
         for delay in _COPIES_AT_S:
             self._schedule(now + delay, self._place, flow)
 
-    def _count(self, flow: _Flow) -> None:
+    def _count(self, flow: Flow) -> None:
         self._counts_by_second[int(flow.first_sent_at)] += 1
         self._counts_by_kind[flow.long] += 1
 
-    def _place(self, now: float, flow: _Flow) -> None:
+    def _place(self, now: float, flow: Flow) -> None:
         """Handle a copy of an opening packet, or the host's own one."""
         start, end = self._pattern.outage
         if flow.upstream_id or start <= now < end:
@@ -277,7 +289,7 @@
             for item in self._disturbances_at(now)
         )
 
-    def _send(self, now: float, flow: _Flow) -> None:
+    def _send(self, now: float, flow: Flow) -> None:
         """Carry a request to the upstream of its flow."""
         start, end = self._pattern.outage
         if start <= now < end:
@@ -304,19 +316,22 @@
             self._handle_shed(now, flow)
 
     def _end_request(
-        self, now: float, flow: _Flow, seconds: float = 0.0
+        self, now: float, flow: Flow, seconds: float = 0.0
     ) -> None:
         self._placement.end_request(flow.host, flow.upstream_id, now, seconds)
 
-    def _abandon(self, now: float, flow: _Flow) -> None:
+    def _abandon(self, now: float, flow: Flow) -> None:
         self._end_request(now, flow)
         self._placement.close_flow(flow.host, flow.upstream_id)
 
-    def _handle_shed(self, now: float, flow: _Flow) -> None:
+    def _handle_shed(self, now: float, flow: Flow) -> None:
         self._rejected += self._is_measured(now)
         self._abandon(now, flow)
+        self._return_later(now, flow)
+
+    def _return_later(self, now: float, flow: Flow) -> None:
         if flow.attempt < opening_model.MAX_ATTEMPTS:
-            delay = opening_model.MAX_RETRY_DELAY_S * self._rng.random()
+            delay = self._max_retry_delay_s * self._rng.random()
             self._schedule(
                 now + delay,
                 self._start_flow,
@@ -328,11 +343,11 @@
             )
 
     def _run_request(
-        self, now: float, upstream: opening_model.UpstreamState, flow: _Flow
+        self, now: float, upstream: opening_model.UpstreamState, flow: Flow
     ) -> None:
         upstream.busy_slots += 1
         number = self._numbers_by_id[flow.upstream_id]
-        seconds = opening_model.draw_run_time(self._rng)
+        seconds = self._draw_run_time(flow)
         seconds /= self._pattern.speed(number)
         knee = self._pattern.knee(number)
         if knee:
@@ -342,8 +357,11 @@
                 seconds *= item.slowness
         self._schedule(now + seconds, self._handle_answer, upstream, flow)
 
+    def _draw_run_time(self, flow: Flow) -> float:
+        return opening_model.draw_run_time(self._rng)
+
     def _handle_answer(
-        self, now: float, upstream: opening_model.UpstreamState, flow: _Flow
+        self, now: float, upstream: opening_model.UpstreamState, flow: Flow
     ) -> None:
         upstream.busy_slots -= 1
         if upstream.queue:
@@ -362,7 +380,7 @@
         else:
             self._placement.close_flow(flow.host, flow.upstream_id)
 
-    def _send_next_request(self, now: float, flow: _Flow) -> None:
+    def _send_next_request(self, now: float, flow: Flow) -> None:
         if now >= self._pattern.end_s:
             return
         flow.first_sent_at, flow.attempt = now, 1
--- a/acaciamoor/load/scenarios/site_patterns.py
+++ b/acaciamoor/load/scenarios/site_patterns.py
@@ -11,6 +11,10 @@
 # Requests a second that one upstream can serve: two slots, and 30 ms for a
 # request of `opening_model` with its stragglers.
 UPSTREAM_CAPACITY = 66.0
+# The same for the mix of 39 and 30 ms, one of four requests being important.
+CROWD_UPSTREAM_CAPACITY = 2 / (0.25 * 0.039 + 0.75 * 0.03)
+CROWD_UPSTREAMS = 60
+CROWD_S = (5.0, 11.0)
 _END_S = 8.0
 _DATA_CENTRES = 3
 _UPSTREAMS = 15
@@ -315,6 +319,28 @@
     )
 
 
+def crowd(factor: float) -> SitePattern:
+    """Return a crowd that needs `factor` times the slots for six seconds.
+
+    The kinds of requests are those of `crowd_model`. The usual demand lasts
+    long enough before it that as many long flows are open as usual.
+    """
+    rate = CROWD_UPSTREAMS * CROWD_UPSTREAM_CAPACITY
+    start, end = CROWD_S
+    return SitePattern(
+        f'crowd of {factor} times the slots',
+        (
+            Demand(0.0, start, 0, _USUAL_LOAD * rate),
+            Demand(start, end, 0, factor * rate),
+            Demand(end, end + 5.0, 0, _USUAL_LOAD * rate),
+        ),
+        data_centres=1,
+        hosts=_MANY_HOSTS,
+        upstreams=CROWD_UPSTREAMS,
+        measured_s=CROWD_S,
+    )
+
+
 # Patterns of upstreams whose capacity hosts must measure.
 CAPACITY_PATTERNS = (
     slow_upstreams,
--- a/acaciamoor/openings/pending.py
+++ b/acaciamoor/openings/pending.py
@@ -34,6 +34,9 @@
         Time at which the first packet of the flow was handled.
     refusable_until : datetime.timedelta
         Time until which no other host can have opened the flow.
+    admitted : bool
+        Whether the flow was admitted while its service was overloaded, or
+        before.
     """
 
     key: FlowKey
@@ -44,6 +47,7 @@
     retried: bool = False
     received_at: datetime.timedelta = datetime.timedelta(0)
     refusable_until: datetime.timedelta = datetime.timedelta(0)
+    admitted: bool = False
 
     def __post_init__(self) -> None:
         self.received_at = self.last_tried_at
