--- /dev/null
+++ b/acaciamoor/admission/tests/test_controller.py
@@ -0,0 +1,157 @@
+"""Decisions about new flows while a service is overloaded."""
+
+import datetime
+import unittest
+
+from acaciamoor.admission import caller_counts
+from acaciamoor.admission.tests import builders
+
+SECOND = builders.SECOND
+IMPORTANT, LESS_IMPORTANT = builders.IMPORTANT, builders.LESS_IMPORTANT
+# All upstreams full: 8 requests in progress at 2 slots.
+FULL = {'open_flows': 40, 'started': 14, 'finished': 12}
+DEMANDS = {IMPORTANT: (80, 0), LESS_IMPORTANT: (200, 0)}
+
+
+def overloaded_site(**arguments):
+    """Return a host that learns of an overload after one second."""
+    site = builders.Site(**arguments)
+    site.report(1 * SECOND, 8, DEMANDS, **FULL)
+    return site
+
+
+class AdmissionControllerTest(unittest.TestCase):
+    def test_less_important_openings_are_refused_first(self):
+        """Guards against important openings that pay for the others."""
+        site = overloaded_site()
+        self.assertEqual(1.0, site.share(IMPORTANT, 1.1 * SECOND))
+        share = site.share(LESS_IMPORTANT, 1.1 * SECOND)
+        self.assertLess(0.0, share)
+        self.assertLess(share, 0.9)
+
+    def test_priorities_in_between_are_refused_after_the_last(self):
+        """Guards against shares that ignore the order of priorities."""
+        site = builders.Site((0, 3, 7))
+        demands = {0: (80, 0), 3: (100, 0), 7: (100, 0)}
+        site.report(1 * SECOND, 8, demands, **FULL)
+        shares = [site.share(key, 1.1 * SECOND) for key in (0, 3, 7)]
+        self.assertEqual(1.0, shares[0])
+        self.assertGreater(shares[1], shares[2])
+
+    def test_nothing_is_refused_below_the_capacity(self):
+        """Guards against refusals while upstreams have room."""
+        site = builders.Site()
+        site.report(1 * SECOND, 4, DEMANDS, **FULL)
+        for priority in (IMPORTANT, LESS_IMPORTANT):
+            self.assertEqual(1.0, site.share(priority, 1.1 * SECOND))
+
+    def test_old_or_missing_picture_refuses_nothing(self):
+        """Guards against refusals that rest on a load of the past."""
+        site = builders.Site()
+        self.assertEqual(1.0, site.share(LESS_IMPORTANT, 1 * SECOND))
+        site.report(1 * SECOND, 8, DEMANDS, **FULL)
+        self.assertLess(site.share(LESS_IMPORTANT, 1.1 * SECOND), 1.0)
+        self.assertEqual(1.0, site.share(LESS_IMPORTANT, 2.6 * SECOND))
+
+    def test_service_with_one_priority_is_left_alone(self):
+        """Guards against a part that acts where it was not asked for."""
+        site = overloaded_site(priorities=(2,))
+        self.assertEqual(1.0, site.share(2, 1.1 * SECOND))
+        self.assertIsNone(site.controller.evidence_of(builders.SERVICE))
+
+    def test_new_routes_end_the_refusals(self):
+        """Guards against priorities of a replaced configuration."""
+        site = overloaded_site()
+        self.assertLess(site.share(LESS_IMPORTANT, 1.1 * SECOND), 1.0)
+        site.controller.update_routes(builders.route_table(2, version=2))
+        self.assertEqual(1.0, site.share(LESS_IMPORTANT, 1.2 * SECOND))
+
+    def test_hosts_agree_on_one_picture(self):
+        """Guards against shares that depend on the past of a host."""
+        old, new = builders.Site(), builders.Site(seed=2)
+        for number in range(30):
+            load = 3 + number % 5
+            old.report((1 + number / 5) * SECOND, load, DEMANDS, **FULL)
+            old.share(LESS_IMPORTANT, (1.1 + number / 5) * SECOND, 1)
+            if number >= 24:
+                new.report((1 + number / 5) * SECOND, load, DEMANDS, **FULL)
+                new.share(LESS_IMPORTANT, (1.1 + number / 5) * SECOND, 1)
+        found = [
+            site.controller.evidence_of(builders.SERVICE).shares_by_priority
+            for site in (old, new)
+        ]
+        self.assertEqual(*found)
+
+    def test_upstreams_without_a_queue_are_noticed_by_rejections(self):
+        """Guards against a target that upstreams cannot reach."""
+        site = builders.Site()
+        site.report(
+            1 * SECOND, 2, DEMANDS, open_flows=40, started=14, finished=7,
+            rejected=7,
+        )  # fmt: skip
+        self.assertLess(site.share(LESS_IMPORTANT, 1.1 * SECOND), 0.9)
+        self.assertEqual(1.0, site.share(IMPORTANT, 1.1 * SECOND))
+
+    def test_no_kind_is_starved(self):
+        """Guards against an important crowd that leaves nothing at all."""
+        site = builders.Site()
+        demands = {IMPORTANT: (2000, 0), LESS_IMPORTANT: (100, 0)}
+        site.report(1 * SECOND, 10, demands, open_flows=40, started=60)
+        for number in range(5):
+            at = (1.2 + number / 5) * SECOND
+            site.report(at, 10, demands, open_flows=40, started=60, finished=9)
+            site.share(LESS_IMPORTANT, at, 1)
+        self.assertGreater(site.share(LESS_IMPORTANT, 2.1 * SECOND), 0.02)
+
+    def test_greedy_caller_is_refused_for_its_excess_alone(self):
+        """Guards against a caller that takes the room of the others."""
+        site = overloaded_site()
+        site.share(IMPORTANT, 1.1 * SECOND, 500)
+        greedy = site.share(IMPORTANT, 1.1 * SECOND, 500, caller=-1)
+        self.assertLess(greedy, 0.1)
+        self.assertEqual(1.0, site.share(IMPORTANT, 1.2 * SECOND, 400))
+
+    def test_greedy_caller_is_served_while_there_is_room(self):
+        """Guards against a limit for callers without any overload."""
+        site = builders.Site()
+        site.report(1 * SECOND, 1, DEMANDS, **FULL)
+        share = site.share(IMPORTANT, 1.1 * SECOND, 500, caller=-1)
+        self.assertEqual(1.0, share)
+
+    def test_important_openings_behind_others_are_noticed(self):
+        """Guards against inversions that operators cannot see."""
+        site = overloaded_site()
+        now = 1.1 * SECOND
+        controller = site.controller
+        self.assertFalse(
+            controller.is_behind_lower(builders.SERVICE, IMPORTANT, now)
+        )
+        site.share(LESS_IMPORTANT, now)
+        self.assertTrue(
+            controller.is_behind_lower(builders.SERVICE, IMPORTANT, now)
+        )
+
+
+class CallerCountsTest(unittest.TestCase):
+    def test_memory_is_bounded_and_greedy_callers_stay(self):
+        """Guards against memory that grows with the callers of a crowd."""
+        counts = caller_counts.CallerCounts(SECOND, limit=50)
+        found = 0
+        for number in range(20000):
+            counts.add(number, datetime.timedelta(0))
+            if number % 10 == 0:
+                found = counts.add(-1, datetime.timedelta(0))
+            self.assertLessEqual(len(counts), 100)
+        self.assertGreater(found, 1000)
+
+    def test_callers_are_forgotten_after_two_windows(self):
+        """Guards against a caller that is refused for its past."""
+        counts = caller_counts.CallerCounts(SECOND, limit=50)
+        for _ in range(100):
+            counts.add(7, datetime.timedelta(0))
+        self.assertEqual(101, counts.add(7, 1.5 * SECOND))
+        self.assertEqual(1, counts.add(7, 4 * SECOND))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/acaciamoor/load/scenarios/crowd_model.py
+++ b/acaciamoor/load/scenarios/crowd_model.py
@@ -174,6 +174,9 @@
         Worth of the requests that were served until the end of the crest.
     important_by_second : list of float
         Share of the important requests of each second that were served.
+    important_in_time : float
+        Share of the important requests of the crest that were served within
+        the goal of 150 ms.
     less_important : float
         Share of the less important requests of the crest that were served.
     worst_less_important : float
@@ -197,6 +200,7 @@
     worth: float
     worth_in_crest: float
     important_by_second: list[float]
+    important_in_time: float
     less_important: float
     worst_less_important: float
     admitted_less_important: int
@@ -388,6 +392,11 @@
             self._served_by_second[int(flow.first_sent_at), flow.long] += 1
             if _in_crest(now):
                 self._counts['answered'] += _WORTH_BY_LONG[flow.long]
+            self._counts['in time'] += (
+                not flow.long
+                and _in_crest(flow.first_sent_at)
+                and now - flow.first_sent_at <= opening_model.ANSWER_GOAL_S
+            )
 
     def _run_request(self, now, upstream, flow: site_model.Flow) -> None:
         flow.running_since = now
@@ -413,6 +422,8 @@
                 served[second, False] / offered[second, False]
                 for second in crest
             ],
+            self._counts['in time']
+            / sum(offered[second, False] for second in crest),
             sum(served[second, True] for second in crest)
             / sum(offered[second, True] for second in crest),
             min(less),
@@ -447,7 +458,7 @@
 
     def _run_next(self, now: float) -> None:
         while self._free and self._queue:
-            _, sent_at, _, flow = heapq.heappop(self._queue)
+            *_, flow = heapq.heappop(self._queue)
             seconds = self._draw_run_time(flow)
             wait = now - flow.first_sent_at
             if (
--- a/acaciamoor/load/scenarios/openings.py
+++ b/acaciamoor/load/scenarios/openings.py
@@ -3,8 +3,10 @@
 import collections.abc
 import dataclasses
 import functools
+import itertools
 
 from acaciamoor.load import measurement
+from acaciamoor.load.scenarios import crowd_model
 from acaciamoor.load.scenarios import opening_model
 from acaciamoor.load.scenarios import opening_naive
 from acaciamoor.load.scenarios import opening_patterns
@@ -18,6 +20,7 @@
 NAME = 'openings-crest'
 PATTERNS_NAME = 'openings-patterns'
 SITE_NAME = 'openings-site'
+CROWD_NAME = 'openings-crowd'
 # Hosts of the replayed site; the larger one has 30 in each data centre.
 SITE_SIZES = (9, 90)
 # Requests per second and upstream at the peak of a demand swing (the measures
@@ -153,6 +156,54 @@
     ]
 
 
+def run_crowd(
+    options: registry.Options,
+) -> list[measurement.Measurement]:
+    """Replay crowds with different admissions and placements."""
+    return [
+        measurement.Measurement(
+            CROWD_NAME,
+            measurement.Variant.ACACIAMOOR
+            if variant == 'controller'
+            else measurement.Variant.NAIVE,
+            f'{variant}, placement {placement}, {pattern.name}: {measure}',
+            value,
+            unit,
+            None,
+            options.seed,
+        )
+        for factor in (1.2, 1.5, 2.0)
+        for pattern in (site_patterns.crowd(factor),)
+        for variant, placement in (
+            ('oracle', 'none'),
+            ('foresight', 'none'),
+            *itertools.product(
+                ('none', 'random', 'controller'),
+                crowd_model.PLACEMENTS_BY_NAME,
+            ),
+        )
+        for outcome in (
+            crowd_model.replay(variant, pattern, options.seed, placement),
+        )
+        for measure, value, unit in (
+            ('worth of the requests sent', outcome.worth, 'worth'),
+            ('worth served in the crest', outcome.worth_in_crest, 'worth'),
+            ('important, worst second', outcome.worst_important, 'share'),
+            ('important in time', outcome.important_in_time, 'share'),
+            ('less important', outcome.less_important, 'share'),
+            (
+                'less important, worst second',
+                outcome.worst_less_important,
+                'share',
+            ),
+            ('rejected by upstreams', outcome.rejected, 'share'),
+            ('refused', outcome.refused, 'openings'),
+            ('refused beside a free slot', outcome.refused_beside_room, ''),
+            ('refused after the crest', outcome.refused_after_crest, ''),
+        )
+    ]
+
+
 def register(scenarios: registry.ScenarioRegistry) -> None:
     """Add the scenario of new flows to `scenarios`."""
     scenarios.add(
@@ -169,6 +220,13 @@
             run_patterns,
         )
     )
+    scenarios.add(
+        registry.Scenario(
+            CROWD_NAME,
+            'Replay crowds on the admission of new flows.',
+            run_crowd,
+        )
+    )
     scenarios.add(
         registry.Scenario(
             SITE_NAME,
