--- a/acaciamoor/admission/caller_counts.py
+++ b/acaciamoor/admission/caller_counts.py
@@ -23,8 +23,10 @@
     >>> counts = CallerCounts(datetime.timedelta(seconds=1), limit=2)
     >>> [counts.add(7, datetime.timedelta(0)) for _ in range(3)]
     [1, 2, 3]
-    >>> counts.mean
-    3.0
+    >>> counts.add(8, datetime.timedelta(0))
+    1
+    >>> counts.mean_of_others(3)
+    1.0
     """
 
     def __init__(self, window: datetime.timedelta, limit: int) -> None:
@@ -39,11 +41,11 @@
     def __len__(self) -> int:
         return len(self._counts_by_caller) + len(self._previous_by_caller)
 
-    @property
-    def mean(self) -> float:
-        """Mean number of openings of the callers that are counted."""
+    def mean_of_others(self, openings: int) -> float:
+        """Return the mean of all callers but one that has `openings`."""
         callers = self._counts_by_caller.keys() | self._previous_by_caller
-        return (self._total + self._previous_total) / max(1, len(callers))
+        total = self._total + self._previous_total
+        return (total - openings) / max(1, len(callers) - 1)
 
     def add(self, caller: int, now: datetime.timedelta) -> int:
         """Count an opening; return the recent openings of its caller."""
--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -214,8 +214,9 @@
         evidence = self._evidence(service, now)
         if evidence.overloaded:
             share = evidence.shares_by_priority.get(priority, 1.0)
-            share *= self._share_of_caller(openings, callers)
-            if share < 1.0 and self._random.random() >= share:
+            if self._is_greedy(openings, callers) or (
+                share < 1.0 and self._random.random() >= share
+            ):
                 return False
         self._admitted_at[service, priority] = now
         return True
@@ -235,16 +236,14 @@
             if other > priority
         )
 
-    def _share_of_caller(
+    def _is_greedy(
         self, openings: int, callers: caller_counts.CallerCounts
-    ) -> float:
+    ) -> bool:
+        """Return whether a caller opens far more flows than the others."""
         settings = self._settings
-        if openings <= settings.caller_minimum:
-            return 1.0
-        limit = max(
-            settings.caller_minimum, settings.caller_share * callers.mean
+        return openings > settings.caller_minimum and (
+            openings > settings.caller_share * callers.mean_of_others(openings)
         )
-        return min(1.0, limit / openings)
 
     def _evidence(self, service: str, now: datetime.timedelta) -> Evidence:
         if now >= self._check_at:
@@ -383,5 +382,8 @@
             if number and offered:
                 share = min(1.0, max(left, floor) / offered)
             shares_by_priority[priority] = share
+            if not number:
+                # Those refused for their caller take no room.
+                offered -= sample.refused_by_priority.get(priority, 0.0)
             left -= share * offered
         return shares_by_priority
--- a/acaciamoor/load/scenarios/crowd_model.py
+++ b/acaciamoor/load/scenarios/crowd_model.py
@@ -29,7 +29,7 @@
 LESS_IMPORTANT = 2
 _WORTH_BY_LONG = {False: 2, True: 1}
 _WORK_S_BY_LONG = {False: 0.039, True: 0.03}
-_LONG_SHARE = 0.75
+LONG_SHARE = 0.75
 # Mean of `opening_model.draw_run_time`, with its stragglers, in seconds.
 _MEAN_RUN_TIME_S = opening_model.RUN_TIME_MEAN_S * (
     1 + opening_model.STRAGGLER_SHARE * (opening_model.STRAGGLER_FACTOR - 1)
@@ -229,10 +229,13 @@
     variant : str
         Name of the admission: 'none', 'random' or 'controller'.
     greedy_rate : float
-        Openings a second of one caller beside the others.
+        Openings a second of one caller beside the others, in the crest.
+    blind_hosts : int
+        Hosts that receive no summaries.
+    long_share : float
+        Share of the requests that belong to long, less important flows.
     """
 
-    _long_share = _LONG_SHARE
     _max_retry_delay_s = _MAX_RETURN_S
 
     def __init__(
@@ -242,6 +245,8 @@
         variant: str,
         placement: str = 'random',
         greedy_rate: float = 0.0,
+        blind_hosts: int = 0,
+        long_share: float = LONG_SHARE,
     ) -> None:
         super().__init__(
             PLACEMENTS_BY_NAME[placement](pattern, seed), pattern, seed
@@ -251,6 +256,8 @@
             for host in range(pattern.hosts)
         ]
         self._greedy_rate = greedy_rate
+        self._blind_hosts = blind_hosts
+        self._long_share = long_share
         self._demands_by_priority = {
             priority: collections.Counter()
             for priority in (IMPORTANT, LESS_IMPORTANT)
@@ -300,7 +307,7 @@
         for counts in self._demands_by_priority.values():
             counts.clear()
         summary = msgspec.structs.replace(summary, demands=demands)
-        for picture in self._placement.pictures:
+        for picture in self._placement.pictures[self._blind_hosts :]:
             delay = self._report_rng.uniform(*site_placements.REPORT_DELAYS_S)
             self._schedule(
                 now + delay,
@@ -507,7 +514,7 @@
     pattern: site_patterns.SitePattern,
     seed: int,
     placement: str = 'random',
-    greedy_rate: float = 0.0,
+    **arguments: float,
 ) -> CrowdOutcome:
     """Replay a crowd: 'none', 'random', 'controller' or an oracle.
 
@@ -517,5 +524,5 @@
         foresight = variant == 'foresight'
         return OracleSimulation(pattern, seed, foresight).run()
     return CrowdSimulation(
-        pattern, seed, variant, placement, greedy_rate
+        pattern, seed, variant, placement, **arguments
     ).run()
