--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -4,6 +4,7 @@
 import random
 
 from acaciamoor import admission as admissions
+from acaciamoor import capacity
 from acaciamoor import directory as directories
 from acaciamoor import hashing
 from acaciamoor import load_reports
@@ -40,6 +41,8 @@
         Source of randomness for ties between upstreams.
     load_collector : LoadCollector or None
         Counts the load that passes this host, for its reports.
+    load_picture : LoadPicture or None
+        Load that all hosts share; None if they do not.
 
     Attributes
     ----------
@@ -53,6 +56,7 @@
         directory: directories.Directory,
         random_source: random.Random,
         load_collector: load_reports.LoadCollector | None = None,
+        load_picture: load_reports.LoadPicture | None = None,
     ) -> None:
         self._settings = settings
         self._directory = directory
@@ -79,6 +83,8 @@
             demand_tracker,
             self.failure_detector,
             random_source,
+            picture=load_picture,
+            handle_change=self._record_capacity,
         )
 
     def handle(
@@ -179,6 +185,10 @@
         self._pending.clear()
         self._held.take_all()
 
+    def update_load(self, now: datetime.timedelta) -> None:
+        """Take in the load that hosts share, if there is a new summary."""
+        self.placer.update_load(self._directory.entries_by_id.values(), now)
+
     def expire(self, now: datetime.timedelta) -> None:
         """Remove idle flows and expired upstreams."""
         self._flow_tracker.expire(now, self._settings.idle_timeout)
@@ -239,7 +249,11 @@
         if candidates and not self._admit(opening, route, now):
             return self._refuse_overload(opening, route, now)
         entry = self.placer.choose(
-            candidates, route.kind, opening.tried_ids, now
+            candidates,
+            route.kind,
+            opening.tried_ids,
+            now,
+            self._directory.max_flows(opening.service),
         )
         if entry is None:
             self._observe_wait(opening, route, now)
@@ -456,6 +470,18 @@
                 effects.SuspicionCleared(upstream_id, opening.key)
             )
 
+    def _record_capacity(
+        self,
+        upstream_id: model.UpstreamId,
+        before: capacity.Capacity,
+        after: capacity.Capacity,
+    ) -> None:
+        self._observations.append(
+            effects.CapacityChanged(
+                upstream_id, before.rate, after.rate, after.limit
+            )
+        )
+
     def _record_timeout(
         self, opening: openings.Opening, now: datetime.timedelta
     ) -> None:
--- a/acaciamoor/forwarder/shell/observer.py
+++ b/acaciamoor/forwarder/shell/observer.py
@@ -77,6 +77,10 @@
             'Flows that were refused or waited while less important ones were '
             'admitted.',
         )
+        self.capacity_changes = exposition.Counter(
+            'acaciamoor_forwarder_capacity_changes_total',
+            'Changes of a measured rate by more than a factor of two.',
+        )
         self.handshakes = exposition.Histogram(
             'acaciamoor_forwarder_handshake_seconds',
             'Time from an opening packet to the next packet of its flow.',
@@ -94,6 +98,7 @@
             self.overload_refusals,
             self.refusals_beside_room,
             self.priority_inversions,
+            self.capacity_changes,
             self.handshakes,
         )
 
@@ -225,6 +230,19 @@
             upstream=clearance.upstream_id,
         )
 
+    def record_capacity(self, change: effects.CapacityChanged) -> None:
+        """Record that an upstream became slower or faster."""
+        self.capacity_changes.add()
+        self._log(
+            bounded.LogCategory.ROUTINE,
+            'capacity changed',
+            None,
+            upstream=change.upstream_id,
+            rate_before=round(change.rate_before, 1),
+            rate=round(change.rate, 1),
+            limit=round(change.limit, 1),
+        )
+
     def log_suppressed_lines(self) -> None:
         """Log how many lines the rate limit suppressed."""
         suppressed = self._rate_limiter.pop_suppressed_count()
@@ -303,3 +321,10 @@
     observation: effects.ImportantFlowWaits, observer: Observer
 ) -> None:
     observer.record_important_wait(observation)
+
+
+@_record.register
+def _record_capacity(
+    observation: effects.CapacityChanged, observer: Observer
+) -> None:
+    observer.record_capacity(observation)
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -4,6 +4,7 @@
 import collections.abc
 import datetime
 import http
+import itertools
 import logging
 import os
 import random
@@ -12,6 +13,7 @@
 import msgspec
 
 from acaciamoor import admission
+from acaciamoor import capacity as capacities
 from acaciamoor import clock as clocks
 from acaciamoor import directory as directories
 from acaciamoor import load_reports
@@ -42,6 +44,8 @@
 _QUIET_PERIOD = datetime.timedelta(milliseconds=500)
 # Two processes of a host have the same number once in billions of restarts.
 _INCARNATION_BITS = 32
+# Upstreams in metrics: the largest service of the platform has 150.
+_MAX_REPORTED_UPSTREAMS = 256
 _QUIET_CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
@@ -129,6 +133,7 @@
                 own.data_centre,
                 random_source.getrandbits(_INCARNATION_BITS),
             ),
+            self._load_picture,
         )
         self._core.admission = admission.AdmissionController(
             self._load_picture,
@@ -229,6 +234,21 @@
             -1 if age is None else age // _MS,
         )
 
+    def _measured_capacities(
+        self,
+    ) -> list[tuple[model.UpstreamId, capacities.Capacity]]:
+        """Return the measured capacities, of a bounded number of upstreams."""
+        now = self._clock.monotonic()
+        estimator = self._core.placer.estimator
+        return [
+            (upstream_id, found)
+            for upstream_id in itertools.islice(
+                sorted(self._core.placer.capacities_by_id),
+                _MAX_REPORTED_UPSTREAMS,
+            )
+            if (found := estimator.estimate(upstream_id, now)).known
+        ]
+
     def _read_picture_age(self) -> float:
         age = self._load_picture.age(self._clock.monotonic())
         return -1.0 if age is None else age.total_seconds()
@@ -314,6 +334,24 @@
                 'Hosts in the summaries that count.',
                 lambda: self._load_picture.hosts(self._clock.monotonic()),
             ),
+            exposition.Gauge(
+                'acaciamoor_forwarder_measured_rate',
+                'Requests a second that an upstream takes well.',
+                lambda: {
+                    upstream_id: capacity.rate
+                    for upstream_id, capacity in self._measured_capacities()
+                },
+                label='upstream',
+            ),
+            exposition.Gauge(
+                'acaciamoor_forwarder_measured_limit',
+                'Requests in progress that an upstream takes well.',
+                lambda: {
+                    upstream_id: capacity.limit
+                    for upstream_id, capacity in self._measured_capacities()
+                },
+                label='upstream',
+            ),
             exposition.Gauge(
                 'acaciamoor_forwarder_resident_memory_bytes',
                 'Resident memory of the process; 0 if it cannot be read.',
--- a/acaciamoor/tests/test_core_imports.py
+++ b/acaciamoor/tests/test_core_imports.py
@@ -8,6 +8,7 @@
 
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent
 PURE_PACKAGES = (
+    'admission',
     'balancer/core',
     'configuration',
     'directory',
@@ -51,6 +52,7 @@
 # Packages that only hosts of the data path load. They use msgspec structs, as
 # the methods of data classes are generated at each start of a process.
 DATA_PATH_PACKAGES = (
+    'admission',
     'directory',
     'forwarder',
     'load_reports',
