--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 
+from acaciamoor import admission as admissions
 from acaciamoor import capacity
 from acaciamoor import directory as directories
 from acaciamoor import hashing
@@ -20,6 +21,7 @@
 _NO_UPSTREAM = effects.Drop(effects.DropReason.NO_UPSTREAM)
 _NOT_FROM_CALLER = effects.Drop(effects.DropReason.NOT_FROM_CALLER)
 _UNKNOWN_TOKEN = effects.Drop(effects.DropReason.UNKNOWN_TOKEN)
+_MAX_FLOWS = effects.Drop(effects.DropReason.MAX_FLOWS)
 _EVACUATED = effects.Drop(effects.DropReason.EVACUATED)
 _WARM_UP = effects.Drop(effects.DropReason.WARM_UP)
 _OUTDATED = effects.Drop(effects.DropReason.OUTDATED)
@@ -45,6 +47,11 @@
         Counts the load that passes this host, for its reports.
     load_picture : LoadPicture or None
         Load that all hosts share; None if they do not.
+
+    Attributes
+    ----------
+    admission : AdmissionController or None
+        Refuses less important flows in overload; None if all are admitted.
     """
 
     def __init__(
@@ -70,6 +77,7 @@
             demand_tracker,
             load_collector=self.load_collector,
         )
+        self.admission: admissions.AdmissionController | None = None
         self._observations: list[effects.Observation] = []
         # Services without upstreams, and since when.
         self._empty_since_by_service: dict[str, datetime.timedelta] = {}
@@ -247,6 +255,8 @@
             self._pending.pop(opening.key)
             return _OUTDATED
         available = self._candidates(opening, now)
+        if available and not self._admit(opening, route, now):
+            return self._refuse_overload(opening, route, now)
         candidates = self._select_paced(opening, available, now)
         entry = self.placer.choose(
             candidates,
@@ -256,6 +266,11 @@
             self._directory.max_flows(opening.service),
         )
         if entry is None:
+            self._observe_wait(opening, route, now)
+            if candidates:
+                return self._refuse(
+                    opening, now, effects.RefusalReason.MAX_FLOWS, _MAX_FLOWS
+                )
             if available:
                 return self._handle_slow_service(opening, available, now)
             return self._handle_empty_service(opening, now)
@@ -348,6 +363,67 @@
             opening, now, effects.RefusalReason.WARM_UP, _WARM_UP
         )
 
+    def _admit(
+        self,
+        opening: openings.Opening,
+        route: directories.Route,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Return whether a flow may be opened, as far as load is concerned.
+
+        Only a first copy that no upstream has seen can be refused.
+        """
+        admission = self.admission
+        if (
+            admission is None
+            or opening.admitted
+            or not _is_refusable(opening, now)
+        ):
+            return True
+        admission.update_routes(self._directory.table)
+        opening.admitted = admission.decide(
+            opening.service, route.priority, opening.key[0], now
+        )
+        return opening.admitted
+
+    def _refuse_overload(
+        self,
+        opening: openings.Opening,
+        route: directories.Route,
+        now: datetime.timedelta,
+    ) -> effects.Refusal:
+        self._pending.pop(opening.key)
+        service, priority = opening.service, route.priority
+        self.load_collector.add_demand(service, priority, refused=True)
+        evidence = self.admission.evidence_of(service)
+        return effects.Refusal(
+            opening.key,
+            effects.RefusalReason.OVERLOAD,
+            effects.Overload(
+                service,
+                priority,
+                evidence,
+                now - evidence.computed_at,
+                self.admission.is_behind_lower(service, priority, now),
+            ),
+        )
+
+    def _observe_wait(
+        self,
+        opening: openings.Opening,
+        route: directories.Route,
+        now: datetime.timedelta,
+    ) -> None:
+        """Record an important flow that waits behind less important ones."""
+        if self.admission is not None and self.admission.is_behind_lower(
+            opening.service, route.priority, now
+        ):
+            self._observations.append(
+                effects.ImportantFlowWaits(
+                    opening.key, opening.service, route.priority
+                )
+            )
+
     def _handle_empty_service(
         self,
         opening: openings.Opening,
--- a/acaciamoor/forwarder/effects.py
+++ b/acaciamoor/forwarder/effects.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from acaciamoor import admission
 from acaciamoor import model
 from acaciamoor.openings import pending
 
@@ -20,6 +21,7 @@
     NO_UPSTREAM = 'no_upstream'
     OUTDATED = 'outdated'
     EVACUATED = 'evacuated'
+    MAX_FLOWS = 'max_flows'
     # The pace of upstreams in warm-up leaves no room.
     WARM_UP = 'warm_up'
     # The upstream has had no time yet to answer the previous copy.
@@ -35,6 +37,10 @@
     EVACUATED = 'evacuated'
     # All upstreams are in warm-up, and others wait that take all room.
     WARM_UP = 'warm_up'
+    # All upstreams hold as many flows as they may.
+    MAX_FLOWS = 'max_flows'
+    # The service is overloaded, and the route is less important than others.
+    OVERLOAD = 'overload'
 
 
 class WaitReason(enum.Enum):
@@ -99,11 +105,36 @@
     suspects: int
 
 
+class Overload(msgspec.Struct, frozen=True):
+    """Why a flow was refused for the overload of a service.
+
+    Parameters
+    ----------
+    service : str
+        Service of the flow.
+    priority : int
+        Priority of its route.
+    evidence : Evidence
+        Demand and capacity.
+    age : datetime.timedelta
+        Age of the reports that it rests on.
+    behind_lower : bool
+        Whether less important flows were admitted just before.
+    """
+
+    service: str
+    priority: int
+    evidence: admission.Evidence
+    age: datetime.timedelta
+    behind_lower: bool
+
+
 class Refusal(msgspec.Struct, frozen=True):
     """Decision to reset a flow that cannot be opened."""
 
     key: pending.FlowKey
     reason: RefusalReason
+    overload: Overload | None = None
 
 
 class Wait(msgspec.Struct, frozen=True):
@@ -143,6 +174,14 @@
     duration: datetime.timedelta
 
 
+class ImportantFlowWaits(msgspec.Struct, frozen=True):
+    """A flow waits although less important ones were just admitted."""
+
+    key: pending.FlowKey
+    service: str
+    priority: int
+
+
 class CapacityChanged(msgspec.Struct, frozen=True):
     """The measured rate of an upstream changed by more than a factor of two.
 
@@ -163,5 +202,9 @@
 
 
 Observation = (
-    UpstreamSuspected | SuspicionCleared | HandshakeCompleted | CapacityChanged
+    UpstreamSuspected
+    | SuspicionCleared
+    | HandshakeCompleted
+    | ImportantFlowWaits
+    | CapacityChanged
 )
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from acaciamoor import admission
 from acaciamoor import capacity as capacities
 from acaciamoor import clock as clocks
 from acaciamoor import directory as directories
@@ -134,6 +135,12 @@
             ),
             self._load_picture,
         )
+        self._core.admission = admission.AdmissionController(
+            self._load_picture,
+            self._core.placer.estimator,
+            self._directory.candidates,
+            random_source,
+        )
         self._observer = observer.Observer(clock, self._get_sync_status)
         self._driver = drivers.Driver(
             self._core,
