--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -146,7 +146,11 @@
         self._priorities_by_service: dict[str, tuple[int, ...]] = {}
         self._samples_by_service: dict[str, collections.deque[_Sample]] = {}
         self._evidence_by_service: dict[str, Evidence] = {}
-        self._callers_by_service: dict[str, caller_counts.CallerCounts] = {}
+        # By service and priority: callers over routes whose flows carry a
+        # single request open many times more of them than others.
+        self._callers_by_key: dict[
+            tuple[str, int], caller_counts.CallerCounts
+        ] = {}
         # When this host last admitted an opening, by service and priority.
         self._admitted_at: dict[tuple[str, int], datetime.timedelta] = {}
         # Revision of the picture in use, 0 if it is old, and when to look
@@ -172,12 +176,12 @@
         for state_by_service in (
             self._samples_by_service,
             self._evidence_by_service,
-            self._callers_by_service,
         ):
             for service in (
                 state_by_service.keys() - self._priorities_by_service
             ):
                 del state_by_service[service]
+        self._callers_by_key.clear()
         self._admitted_at.clear()
 
     def decide(
@@ -203,12 +207,11 @@
         if service not in self._priorities_by_service:
             return True
         # Callers are counted before the overload, which they may cause.
-        callers = self._callers_by_service.get(service)
+        key = service, priority
+        callers = self._callers_by_key.get(key)
         if callers is None:
-            callers = self._callers_by_service[service] = (
-                caller_counts.CallerCounts(
-                    self._settings.caller_window, self._settings.max_callers
-                )
+            callers = self._callers_by_key[key] = caller_counts.CallerCounts(
+                self._settings.caller_window, self._settings.max_callers
             )
         openings = callers.add(caller, now)
         evidence = self._evidence(service, now)
