--- a/acaciamoor/balancer/tests/test_compact.py
+++ b/acaciamoor/balancer/tests/test_compact.py
@@ -4,6 +4,8 @@
 import random
 import unittest
 
+import msgspec
+
 from acaciamoor.balancer.core import compact
 from acaciamoor.balancer.core import events
 from acaciamoor.balancer.core import messages
@@ -19,13 +21,21 @@
 MEMBER = membership.MemberUpdate(
     'kgn-a-1', 2**63, membership.Phase.ACTIVE, membership.Health.SUSPECT
 )
-DIGEST = configuration.ConfigurationDigest(7, 2**64 - 1, AGE, None, 6, True)
+EVACUATION = configuration.EvacuationState(9, True, AGE)
+DIGEST = configuration.ConfigurationDigest(
+    7, 2**64 - 1, AGE, None, 6, True, EVACUATION
+)
 HOST = events.Host('kgn-a-1', 'kgn-a', model.Address('::1', 9), True)
 ROUND_TRIP_AGES = membership.RoundTripAges(2**64 - 1, b'\x00\xff', b'abcd')
 CHANGE = configuration.ServiceVersion(1, 1, SERVICE, AGE)
 DELETION = configuration.ServiceVersion(2, 3, None, AGE)
 VIEW = views.ServiceView.of(
-    SERVICE, model_builders.DATA_CENTRE, 5, frozenset(['desk-1'])
+    SERVICE,
+    model_builders.DATA_CENTRE,
+    5,
+    frozenset(['desk-1']),
+    evacuation=9,
+    evacuated=True,
 )
 MESSAGES = (
     membership.Probe(1, MEMBER, (MEMBER,), DIGEST, 9, 'kgn-a-2'),
@@ -55,6 +65,18 @@
                 data = compact.pack(message)
                 self.assertEqual(message, compact.unpack(type(message), data))
 
+    def test_other_versions_of_a_message_are_understood(self):
+        """Guards against probes that fail during an upgrade of a fleet."""
+        fields = msgspec.msgpack.decode(compact.pack(DIGEST))
+
+        def unpack(values):
+            return compact.unpack(type(DIGEST), msgspec.msgpack.encode(values))
+
+        self.assertIsNone(unpack(fields[:-1]).evacuation)
+        self.assertEqual(DIGEST, unpack([*fields, 'unknown']))
+        with self.assertRaises(compact.CompactError):
+            unpack([])
+
     def test_every_message_type_is_known_to_peers(self):
         """Guards against a message type that peers drop as unknown."""
         for message in MESSAGES:
