--- a/acaciamoor/forwarder/tests/test_data_centre.py
+++ b/acaciamoor/forwarder/tests/test_data_centre.py
@@ -168,6 +168,20 @@
         await self.wait_for_all('desk-1')
 
 
+class HostListTest(DataCentreTestCase):
+    async def test_list_of_the_store_may_lack_hosts(self):
+        """Guards against shares of the pace by a list of some hosts.
+
+        The store lists those that had to register, and no one else answers.
+        """
+        self.add_hosts(5)
+        own = self.store.peers[0]
+        self.start(own)
+        await asyncio.sleep(STARTUP_S)
+        updater = self.updaters_by_id[own.host_id]
+        self.assertIsNone(updater.hosts_by_data_centre)
+
+
 class LargeDataCentreTest(DataCentreTestCase):
     async def test_hosts_know_the_size_of_a_data_centre_with_branches(self):
         """Guards against counts that miss hosts below other hosts."""
