--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -178,7 +178,6 @@
         for upstream_id in self._directory.expire(now):
             self.load_tracker.forget(upstream_id)
             self.failure_detector.forget(upstream_id)
-            self.load_collector.forget(upstream_id)
             self.placer.forget(upstream_id)
 
     def _handle_opening(
@@ -352,7 +351,11 @@
         if opening is not None:
             self._record_answer(opening, upstream_id, now)
         if packet.ends:
-            self._flow_tracker.record_end(key, now, packet.acknowledged)
+            # A reset that answers a late packet acknowledges nothing; its
+            # number is 0.
+            self._flow_tracker.record_end(
+                key, now, packet.acknowledged or None
+            )
         else:
             self._flow_tracker.record_packet(
                 key,
--- a/acaciamoor/forwarder/shell/load_exchange.py
+++ b/acaciamoor/forwarder/shell/load_exchange.py
@@ -75,7 +75,6 @@
         self._aggregator = load_reports.ReportAggregator(
             own.host_id, own.data_centre, collector.incarnation
         )
-        self._active = False
         self._was_fresh = False
         self._pace = load_reports.Pace.of(1, 1)
         # Sums of other data centres that wait to be passed on, and when they
@@ -115,17 +114,14 @@
     ) -> load_reports.LoadSummary | None:
         """Take the report of this host, and send it or return the sum."""
         hosts = self._server.local_hosts
-        if hosts < load_reports.MIN_HOSTS:
-            self._active = False
+        # Taken also where it is not sent: this drops the counts of upstreams
+        # that are gone, and of earlier intervals. The first one has no
+        # interval to which its counts belong.
+        report = self._collector.take_report(now)
+        if hosts < load_reports.MIN_HOSTS or report.serial == 1:
             return None
         known = self._picture.summaries(now).keys() | {self._own.data_centre}
         self._pace = load_reports.Pace.of(hosts, len(known))
-        report = self._collector.take_report(now)
-        if not self._active:
-            # Its counts are those since the start, or since the data centre
-            # last had enough hosts.
-            self._active = True
-            return None
         self._aggregator.record(report, now)
         if self._peers.leads_data_centre(now):
             return self._aggregator.summarize(now)
@@ -356,7 +352,9 @@
 
     def _log_freshness(self, now: datetime.timedelta) -> None:
         fresh = self._picture.is_fresh(now)
-        if fresh != self._was_fresh:
+        if fresh != self._was_fresh and self._rate_limiter.try_acquire(
+            bounded.LogCategory.ROUTINE
+        ):
             self._was_fresh = fresh
             _LOG.info(
                 'the picture of the load is %s',
--- a/acaciamoor/load_reports/aggregator.py
+++ b/acaciamoor/load_reports/aggregator.py
@@ -13,8 +13,6 @@
 # Time for which the incarnation and serial of a silent host are remembered.
 # Messages of processes that ended arrive at most seconds late.
 _MEMORY = datetime.timedelta(seconds=60)
-# Hosts whose reports are kept, many times those that listen to one host.
-MAX_HOSTS = 16384
 # Earlier incarnations that are remembered of a host.
 _MAX_RETIRED = 4
 _ZERO = datetime.timedelta(0)
@@ -91,7 +89,7 @@
                 retired = (*retired, before.incarnation)[-_MAX_RETIRED:]
             elif report.serial <= before.serial:
                 return False
-        elif len(self._received_by_host) >= MAX_HOSTS:
+        elif len(self._received_by_host) >= reports.MAX_HOSTS:
             return False
         self._received_by_host[report.host_id] = _Received(
             report,
@@ -110,7 +108,9 @@
             self._host_id,
             self._incarnation,
             self._serial,
-            sum(item.report.hosts for item in received),
+            min(
+                sum(item.report.hosts for item in received), reports.MAX_HOSTS
+            ),
             _mean_age(received, now),
             _mean_interval(received),
             _sum_upstreams(received),
@@ -209,7 +209,7 @@
             )
             sums[0] += demand.openings
             sums[1] += demand.refused
-    return [
+    demands = [
         reports.ServiceDemand(
             service,
             priority,
@@ -217,3 +217,4 @@
         )
         for (service, priority), sums in sums_by_key.items()
     ]
+    return collectors.select_largest(demands)
--- a/acaciamoor/load_reports/collector.py
+++ b/acaciamoor/load_reports/collector.py
@@ -152,16 +152,14 @@
         demand[0] += 1
         demand[1] += refused
 
-    def forget(self, upstream_id: str) -> None:
-        """Remove the counts of an upstream that no longer exists."""
-        self._counts_by_id.pop(upstream_id, None)
-
     def take_report(self, now: datetime.timedelta) -> reports.HostReport:
         """Return the report since the last one, and start the next one."""
         interval = _ZERO if self._taken_at is None else now - self._taken_at
         self._taken_at = now
         self._serial += 1
         upstreams = []
+        # Upstreams without load are dropped here, also those that no longer
+        # exist. The flows of an upstream may outlive its entry.
         for upstream_id, counts in list(self._counts_by_id.items()):
             load = counts.to_load(upstream_id)
             if load is None:
@@ -184,7 +182,7 @@
             self._serial,
             max(_ZERO, interval).total_seconds(),
             select_busiest(upstreams, reports.MAX_UPSTREAMS),
-            demands,
+            select_largest(demands),
         )
 
     def _find(self, upstream_id: str) -> _Counts:
@@ -194,6 +192,17 @@
         return counts
 
 
+def select_largest(
+    demands: list[reports.ServiceDemand],
+) -> list[reports.ServiceDemand]:
+    """Return as many demands as a report may hold, the largest first."""
+    if len(demands) <= reports.MAX_DEMANDS:
+        return demands
+    return heapq.nlargest(
+        reports.MAX_DEMANDS, demands, key=lambda demand: demand.openings
+    )
+
+
 def select_busiest(
     loads: list[reports.UpstreamLoad], limit: int
 ) -> list[reports.UpstreamLoad]:
--- a/acaciamoor/load_reports/report.py
+++ b/acaciamoor/load_reports/report.py
@@ -10,6 +10,11 @@
 _FRACTIONS = 1024
 # Upstreams in one report; a host that saw more reports the busiest ones.
 MAX_UPSTREAMS = 4096
+# Services and priorities in one report, many times those of a site. Without a
+# limit, one message could make its receiver keep megabytes.
+MAX_DEMANDS = 4096
+# Hosts in one sum, many times those of a data centre.
+MAX_HOSTS = 16384
 
 
 def _check_numbers(*numbers: float) -> None:
@@ -18,6 +23,17 @@
             raise ValueError(f'{number} is out of range')
 
 
+def _check_sum(
+    hosts: int, upstreams: list['UpstreamLoad'], demands: list['ServiceDemand']
+) -> None:
+    if not 0 <= hosts <= MAX_HOSTS:
+        raise ValueError(f'a sum of {hosts} hosts is out of range')
+    if len(upstreams) > MAX_UPSTREAMS:
+        raise ValueError(f'{len(upstreams)} upstreams are too many')
+    if len(demands) > MAX_DEMANDS:
+        raise ValueError(f'{len(demands)} demands are too many')
+
+
 def round_seconds(seconds: float) -> float:
     """Return a time rounded to 1/1024 s, and limited to the valid range.
 
@@ -148,11 +164,8 @@
     age: float = 0.0
 
     def __post_init__(self) -> None:
-        _check_numbers(self.interval, self.hosts, self.age)
-        if len(self.upstreams) > MAX_UPSTREAMS:
-            raise ValueError(
-                f'a report of {len(self.upstreams)} upstreams is too large'
-            )
+        _check_numbers(self.interval, self.age)
+        _check_sum(self.hosts, self.upstreams, self.demands)
 
 
 class LoadSummary(msgspec.Struct, frozen=True, array_like=True):
@@ -191,8 +204,5 @@
     demands: list[ServiceDemand] = []
 
     def __post_init__(self) -> None:
-        _check_numbers(self.hosts, self.age, self.interval)
-        if len(self.upstreams) > MAX_UPSTREAMS:
-            raise ValueError(
-                f'a summary of {len(self.upstreams)} upstreams is too large'
-            )
+        _check_numbers(self.age, self.interval)
+        _check_sum(self.hosts, self.upstreams, self.demands)
--- a/acaciamoor/load_reports/tests/test_reports.py
+++ b/acaciamoor/load_reports/tests/test_reports.py
@@ -42,6 +42,20 @@
         with self.assertRaises(ValueError):
             report('h-1', 1, *[load()] * (reports.MAX_UPSTREAMS + 1))
 
+    def test_report_of_too_many_demands_is_refused(self):
+        """Guards against reports that take the memory of their receiver."""
+        demand = load_reports.ServiceDemand('desk', 0)
+        demands = [demand] * (reports.MAX_DEMANDS + 1)
+        with self.assertRaises(ValueError):
+            report('h-1', 1, demands=demands)
+        with self.assertRaises(ValueError):
+            summary('h-1', 1, demands=demands)
+
+    def test_report_of_too_many_hosts_is_refused(self):
+        """Guards against a sum that is kept for a number of hosts."""
+        with self.assertRaises(ValueError):
+            report('h-1', 1, hosts=reports.MAX_HOSTS + 1)
+
 
 class AggregatorTest(unittest.TestCase):
     def setUp(self):
@@ -90,6 +104,25 @@
         self.assertEqual((16, 0.75), (total.hosts, total.age))
         self.assertEqual((0, 0), self.in_progress(SECOND + MS))
 
+    def test_sums_of_valid_reports_are_valid(self):
+        """Guards against reports that end the task that sums them."""
+        for host_id in ('h-1', 'h-2'):
+            demands = [
+                load_reports.ServiceDemand(f'{host_id}/{number}', 0, number)
+                for number in range(reports.MAX_DEMANDS)
+            ]
+            loads = [
+                load(f'{host_id}/{number}', openings=reports.MAX_COUNT)
+                for number in range(reports.MAX_UPSTREAMS)
+            ]
+            self.record(
+                host_id, 1, *loads, demands=demands, hosts=reports.MAX_HOSTS
+            )
+        total = self.aggregator.summarize(0 * SECOND)
+        self.assertEqual(reports.MAX_HOSTS, total.hosts)
+        self.assertEqual(reports.MAX_DEMANDS, len(total.demands))
+        self.assertEqual(reports.MAX_UPSTREAMS, len(total.upstreams))
+
 
 class PictureTest(unittest.TestCase):
     def setUp(self):
