--- a/acaciamoor/forwarder/shell/relay_link.py
+++ b/acaciamoor/forwarder/shell/relay_link.py
@@ -60,7 +60,9 @@
         self._codec = replicas.MessageCodec()
         self._delays = replicas.DelayEstimator()
         # More frequent messages would shorten the time that `_delays` covers.
-        self._summary_delays = replicas.DelayEstimator()
+        self._summary_delays = replicas.DelayEstimator(
+            replicas.SUMMARY_DELAY_WINDOW
+        )
         self._writer: asyncio.StreamWriter | None = None
         # Time that this host has waited for messages since the last one that
         # was no summary of loads, in seconds.
@@ -161,7 +163,7 @@
         delays = self._delays
         if isinstance(message, replicas.Summary):
             delays = self._summary_delays
-        else:
+        elif not isinstance(message, replicas.Report):
             self._waited_s = 0.0
         if isinstance(
             message, replicas.Beat | replicas.Update | replicas.Summary
--- a/acaciamoor/forwarder/shell/relay_server.py
+++ b/acaciamoor/forwarder/shell/relay_server.py
@@ -340,7 +340,7 @@
             writer,
             '' if hello.peer is None else hello.peer.data_centre,
             hello.listeners,
-            replicas.DelayEstimator(),
+            replicas.DelayEstimator(replicas.REPORT_DELAY_WINDOW),
         )
 
     def _update_listener(
--- a/acaciamoor/forwarder/tests/test_load_reports.py
+++ b/acaciamoor/forwarder/tests/test_load_reports.py
@@ -154,6 +154,19 @@
                     await asyncio.sleep(0.05)
         self.assertIsInstance(task.exception(), TimeoutError)
 
+    async def test_relay_that_sends_only_reports_is_lost(self):
+        """Guards against a message that only listeners send."""
+        body = msgspec.Raw(msgspec.msgpack.encode({}))
+        frame = replica.MessageCodec().encode(replica.Report(body, 1.0))
+        with mock.patch.object(relay_link, 'READ_TIMEOUT', test_relay.SILENCE):
+            _, task = await self.listen_and_report()
+            (listener,) = self.server._listeners_by_host.values()
+            async with asyncio.timeout(10):
+                while not task.done():
+                    listener.writer.write(frame)
+                    await asyncio.sleep(0.05)
+        self.assertIsInstance(task.exception(), TimeoutError)
+
     async def test_listener_that_does_not_read_misses_summaries(self):
         """Guards against summaries that pile up before an update."""
         await self.listen_and_report()
@@ -211,9 +224,10 @@
         self.picture = load_reports.LoadPicture('kgn-a')
         self.peers = replica.PeerList(own)
         self.sent_up = []
+        self.collector = load_reports.LoadCollector('h-0', 'kgn-a', 1)
         self.exchange = load_exchange.LoadExchange(
             own,
-            load_reports.LoadCollector('h-0', 'kgn-a', 1),
+            self.collector,
             self.picture,
             self.peers,
             self.server,
@@ -259,6 +273,27 @@
             self.assertEqual('refused', self.receive(builders.report('h-2')))
 
 
+class SmallDataCentreTest(ExchangeTestCase):
+    """A data centre that has enough hosts for reports only later."""
+
+    def test_counts_before_the_reports_do_not_count(self):
+        """Guards against counts of hours in the first sum."""
+        self.server.local_hosts = 7
+        self.exchange.exchange()
+        self.collector.add_opening('desk-1')
+        self.collector.begin_request('desk-2')
+        self.clock.advance(SECOND / 5)
+        self.exchange.exchange()
+        self.assertEqual({}, self.picture.summaries(self.clock.monotonic()))
+        self.server.local_hosts = 8
+        self.clock.advance(SECOND / 5)
+        self.exchange.exchange()
+        now = self.clock.monotonic()
+        self.assertIsNone(self.picture.load_of('desk-1', now))
+        load = self.picture.load_of('desk-2', now)
+        self.assertEqual((1, 0), (load.in_progress, load.started))
+
+
 class PassOnTest(ExchangeTestCase):
     """Sums that a host passes on."""
 
@@ -368,6 +403,36 @@
         self.assertEqual((1, 1), (load.started, load.finished))
         self.assertEqual((0, 0), (load.in_progress, load.open_flows))
 
+    def send(self, at, **fields):
+        """Send a packet of the flow to desk-1."""
+        token = self.core._directory.token_of(
+            forwarder_builders.ADDRESS, 'desk-1'
+        )
+        packet = forwarder_builders.packet(token=token, **fields)
+        self.core.handle(b'', packet, at)
+
+    def test_reset_that_acknowledges_nothing_is_no_answer(self):
+        """Guards against callers that give up and count as answered.
+
+        The number 0 would be a response of more than 1 GB, after which all
+        others look short.
+        """
+        self.send(SECOND / 10, length=9, acknowledged=3 << 30)
+        self.send(SECOND / 5, ends=True, acknowledged=0)
+        (load,) = self.take().upstreams
+        self.assertEqual((1, 0), (load.started, load.finished))
+        self.assertEqual((0, 0), (load.in_progress, load.open_flows))
+
+    def test_flows_of_an_upstream_count_after_its_entry_expired(self):
+        """Guards against flows of a returned upstream that are lost."""
+        self.send(SECOND / 10, length=9, acknowledged=1)
+        with mock.patch.object(
+            self.core._directory, 'expire', return_value=['desk-1']
+        ):
+            self.core.expire(SECOND / 5)
+        (load,) = self.take().upstreams
+        self.assertEqual((1, 1), (load.in_progress, load.open_flows))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/acaciamoor/replica/__init__.py
+++ b/acaciamoor/replica/__init__.py
@@ -6,6 +6,8 @@
 from acaciamoor.replica.call_modes import select_call_mode
 from acaciamoor.replica.change_log import MAX_LOG_BYTES
 from acaciamoor.replica.delays import DelayEstimator
+from acaciamoor.replica.delays import REPORT_DELAY_WINDOW
+from acaciamoor.replica.delays import SUMMARY_DELAY_WINDOW
 from acaciamoor.replica.messages import Beat
 from acaciamoor.replica.messages import Hello
 from acaciamoor.replica.messages import MAX_LINK_MBPS
@@ -30,6 +32,8 @@
     'MAX_LINK_MBPS',
     'MAX_LOG_BYTES',
     'PROTOCOL',
+    'REPORT_DELAY_WINDOW',
+    'SUMMARY_DELAY_WINDOW',
     'AgeLimits',
     'Batch',
     'Beat',
--- a/acaciamoor/replica/delays.py
+++ b/acaciamoor/replica/delays.py
@@ -6,6 +6,11 @@
 # Number of messages among which the fastest one serves as reference. A relay
 # sends at least one in 0.4 s, so clocks drift by microseconds in the meantime.
 _WINDOW = 32
+# The same for load summaries, up to ten of which come in a second, and load
+# reports, five of which do. With fewer, a path that is slow for three seconds
+# would become the reference, and messages over it would look new.
+SUMMARY_DELAY_WINDOW = 128
+REPORT_DELAY_WINDOW = 64
 
 
 class DelayEstimator:
@@ -16,6 +21,11 @@
     that holds messages back for a time, and a process that is stopped between
     making a message and sending it, are noticed by the messages themselves.
 
+    Parameters
+    ----------
+    window : int
+        Number of messages among which the fastest one serves as reference.
+
     Examples
     --------
     >>> second = datetime.timedelta(seconds=1)
@@ -26,9 +36,9 @@
     1.5
     """
 
-    def __init__(self) -> None:
+    def __init__(self, window: int = _WINDOW) -> None:
         self._differences: collections.deque[datetime.timedelta] = (
-            collections.deque(maxlen=_WINDOW)
+            collections.deque(maxlen=window)
         )
 
     def record(
--- a/acaciamoor/replica/tests/test_delays.py
+++ b/acaciamoor/replica/tests/test_delays.py
@@ -42,6 +42,17 @@
             )
         self.assertEqual(0 * SECOND, delay)
 
+    def test_slow_path_does_not_become_the_reference_within_seconds(self):
+        """Guards against old sums that look new after three seconds.
+
+        Ten messages of load reports arrive in a second.
+        """
+        delays = replica.DelayEstimator(replica.SUMMARY_DELAY_WINDOW)
+        delays.record(0 * SECOND, 0 * SECOND)
+        for number in range(1, 100):
+            sent_at = number * SECOND / 10
+            self.assertEqual(SECOND, delays.record(sent_at, sent_at + SECOND))
+
 
 if __name__ == '__main__':
     unittest.main()
