--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -79,15 +79,15 @@
 
 
 class _Sample(msgspec.Struct, frozen=True):
-    """Load of a service in one picture; rates are per second."""
+    """Load of a service in one picture; openings are per second."""
 
     taken_at: datetime.timedelta
     in_progress: int
     limit: float
     open_flows: int
-    started: float
-    finished: float
-    rejected: float
+    started: int
+    finished: int
+    rejected: int
     free_upstreams: int
     openings_by_priority: dict[int, float]
     refused_by_priority: dict[int, float]
@@ -273,7 +273,11 @@
             sample.in_progress >= settings.start_load * sample.limit
             or sample.rejected > settings.max_rejected * sample.started
         )
-        refusing = any(item.refused for item in samples)
+        # Between the two loads the state stays as it is: if all openings were
+        # admitted at once, the next pictures would show the next overload.
+        refusing = sample.in_progress >= settings.end_load * sample.limit and (
+            any(item.refused for item in samples)
+        )
         offered = sum(sample.openings_by_priority.values())
         overloaded = sample.limit > 0 and (full or refusing)
         admitted = self._openings_to_admit(samples) if overloaded else offered
@@ -309,16 +313,15 @@
             started += load.started
             finished += load.finished
             rejected += load.rejected
-        interval = self._picture.interval.total_seconds()
         demands = self._picture.demand_of(service, now)
         return _Sample(
             now - (self._picture.age(now) or datetime.timedelta(0)),
             in_progress,
             total,
             open_flows,
-            started / interval,
-            finished / interval,
-            rejected / interval,
+            started,
+            finished,
+            rejected,
             free,
             {key: item.openings_per_s for key, item in demands.items()},
             {key: item.refused_per_s for key, item in demands.items()},
@@ -359,7 +362,7 @@
         )
         return max(
             -1.0,
-            min(spare, settings.max_rejected - rejected / max(1.0, started)),
+            min(spare, settings.max_rejected - rejected / max(1, started)),
         )
 
     def _divide(
@@ -372,7 +375,7 @@
         is full rejects them itself.
         """
         shares_by_priority = {}
-        floor = self._settings.min_share * max(0.0, admitted)
+        floor = self._settings.min_share * max(sample.opened, admitted)
         left = admitted
         for number, priority in enumerate(
             self._priorities_by_service[service]
--- a/acaciamoor/admission/settings.py
+++ b/acaciamoor/admission/settings.py
@@ -15,19 +15,21 @@
         openings are refused. Four fifths of the target: the load rises
         further while the picture is on its way. At the usual 0.55 of 120
         slots the standard deviation is 0.07.
+    end_load : float
+        The same below which none are refused any more: with fewer requests
+        than slots, upstreams have room.
     target_load : float
         Requests in progress, relative to the sum of the limits, while
-        openings are refused. A request then takes 3.5 times its run time of
-        32 ms, less than the usual goal of 150 ms. Below that, slots stay
-        idle where flows are spread unevenly (2.5: 0.08 less worth).
+        openings are refused. A request then takes 3.75 times its run time
+        of 32 ms, less than the usual goal of 150 ms. At 2.5 the worth is
+        0.05 lower, as slots stay idle where flows are spread unevenly.
     settling_time : datetime.timedelta
         Time in which the open flows are brought to the number that the
         upstreams take. It is longer than twice the age of the picture, 0.4 s;
         shorter ones let the load oscillate.
     queue_gain : float
         Relative change of the load for a relative distance from the target.
-        0.2 left the load 0.1 below the target at the end of a crest; 0.8
-        gained nothing.
+        0.2 had up to 0.02 less worth; 0.8 gained nothing.
     max_rejected : float
         Share of requests that upstreams reject from which openings are
         refused, whatever is in progress: an upstream may have no queue.
@@ -35,7 +37,7 @@
     window : datetime.timedelta
         Time over which rates are averaged.
     min_share : float
-        Part of the admitted openings that each less important priority keeps
+        Part of all admitted openings that each less important priority keeps
         at least. The more important ones lose as much at most.
     refresh_interval : datetime.timedelta
         Time between two looks at the picture. Reports are taken every
@@ -53,8 +55,9 @@
         Callers that are counted in a host.
     """
 
-    start_load: float = 2.8
-    target_load: float = 3.5
+    start_load: float = 3.0
+    end_load: float = 1.0
+    target_load: float = 3.75
     settling_time: datetime.timedelta = datetime.timedelta(seconds=1)
     queue_gain: float = 0.4
     max_rejected: float = 0.3
--- a/acaciamoor/admission/tests/test_controller.py
+++ b/acaciamoor/admission/tests/test_controller.py
@@ -103,6 +103,23 @@
             site.share(LESS_IMPORTANT, at, 1)
         self.assertGreater(site.share(LESS_IMPORTANT, 2.1 * SECOND), 0.02)
 
+    def test_service_that_returns_is_filled_at_once(self):
+        """Guards against a service that waits for flows to end it lacks.
+
+        Its reports hold the refusals from the time when it was empty.
+        """
+        site = builders.Site()
+        demands = {IMPORTANT: (80, 80), LESS_IMPORTANT: (200, 200)}
+        site.report(1 * SECOND, 0, demands)
+        self.assertEqual(1.0, site.share(LESS_IMPORTANT, 1.1 * SECOND))
+
+    def test_upstreams_that_answer_nothing_leave_a_floor(self):
+        """Guards against shares of zero where no flow can be replaced."""
+        site = builders.Site()
+        site.report(1 * SECOND, 10, DEMANDS, open_flows=400, started=60)
+        share = site.share(LESS_IMPORTANT, 1.1 * SECOND, 20000)
+        self.assertTrue(0.002 < share < 0.05, share)
+
     def test_greedy_caller_is_refused_for_its_excess_alone(self):
         """Guards against a caller that takes the room of the others."""
         site = overloaded_site()
