--- a/acaciamoor/load/scenarios/openings.py
+++ b/acaciamoor/load/scenarios/openings.py
@@ -269,3 +269,10 @@
             run_site,
         )
     )
+    scenarios.add(
+        registry.Scenario(
+            CAPACITY_NAME,
+            'Replay upstreams whose capacity must be measured.',
+            run_capacity,
+        )
+    )
