--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -244,8 +244,10 @@
     ) -> bool:
         """Return whether a caller opens far more flows than the others."""
         settings = self._settings
+        mean = callers.mean_of_others(openings)
+        # A caller alone takes the room of nobody.
         return openings > settings.caller_minimum and (
-            openings > settings.caller_share * callers.mean_of_others(openings)
+            0.0 < settings.caller_share * mean < openings
         )
 
     def _evidence(self, service: str, now: datetime.timedelta) -> Evidence:
@@ -288,7 +290,9 @@
             sample.taken_at,
             self._revision,
             overloaded and admitted < offered,
-            self._divide(service, sample, admitted),
+            self._limit_fall(
+                service, sample, self._divide(service, sample, admitted)
+            ),
             offered,
             admitted,
             sample.in_progress,
@@ -296,6 +300,28 @@
             sample.free_upstreams,
         )
 
+    def _limit_fall(
+        self,
+        service: str,
+        sample: _Sample,
+        shares_by_priority: dict[int, float],
+    ) -> dict[int, float]:
+        """Return shares that fall no faster than the settings allow."""
+        settings = self._settings
+        if sample.rejected > settings.fast_rejected * sample.started:
+            return shares_by_priority
+        before = self._evidence_by_service.get(service)
+        previous: collections.abc.Mapping[int, float] = {}
+        elapsed_s = self._picture.interval.total_seconds()
+        if before is not None and before.overloaded:
+            previous = before.shares_by_priority
+            elapsed_s = (sample.taken_at - before.computed_at).total_seconds()
+        fall = settings.max_fall * max(0.0, elapsed_s)
+        return {
+            priority: max(share, previous.get(priority, 1.0) - fall)
+            for priority, share in shares_by_priority.items()
+        }
+
     def _take_sample(self, service: str, now: datetime.timedelta) -> _Sample:
         in_progress = open_flows = free = 0
         started = finished = rejected = 0
@@ -373,23 +399,23 @@
     ) -> dict[int, float]:
         """Return the shares of the priorities, the most important first.
 
-        The most important openings are never refused for their priority:
-        single requests of theirs replace no long flow, and an upstream that
-        is full rejects them itself.
+        Only openings of the least important priority pay for the flows that
+        are open. More important ones are refused where they alone ask for more
+        than the upstreams answer: single requests of theirs replace no long
+        flow, and an upstream that is full rejects them itself.
         """
         shares_by_priority = {}
         floor = self._settings.min_share * max(sample.opened, admitted)
-        left = admitted
-        for number, priority in enumerate(
-            self._priorities_by_service[service]
-        ):
+        priorities = self._priorities_by_service[service]
+        interval_s = self._picture.interval.total_seconds()
+        left, unanswered = admitted, sample.finished / interval_s
+        for priority in priorities:
             offered = sample.openings_by_priority.get(priority, 0.0)
+            room = left if priority == priorities[-1] else unanswered
             share = 1.0
-            if number and offered:
-                share = min(1.0, max(left, floor) / offered)
+            if offered:
+                share = min(1.0, max(room, floor) / offered)
             shares_by_priority[priority] = share
-            if not number:
-                # Those refused for their caller take no room.
-                offered -= sample.refused_by_priority.get(priority, 0.0)
             left -= share * offered
+            unanswered -= share * offered
         return shares_by_priority
--- a/acaciamoor/admission/settings.py
+++ b/acaciamoor/admission/settings.py
@@ -39,6 +39,13 @@
     min_share : float
         Part of all admitted openings that each less important priority keeps
         at least. The more important ones lose as much at most.
+    max_fall : float
+        Largest fall of a share, per second. Callers return twice within a
+        second or so; in a crest that is over by then, most of them must be
+        admitted at one of their attempts.
+    fast_rejected : float
+        Share of requests that upstreams reject from which shares fall at
+        once: callers lose then whoever turns them away.
     refresh_interval : datetime.timedelta
         Time between two looks at the picture. Reports are taken every
         200 ms.
@@ -63,8 +70,10 @@
     max_rejected: float = 0.3
     window: datetime.timedelta = datetime.timedelta(seconds=1)
     min_share: float = 0.01
+    max_fall: float = 0.6
+    fast_rejected: float = 0.1
     refresh_interval: datetime.timedelta = datetime.timedelta(milliseconds=100)
     caller_window: datetime.timedelta = datetime.timedelta(seconds=5)
-    caller_share: float = 4.0
+    caller_share: float = 3.0
     caller_minimum: int = 3
     max_callers: int = 2048
--- a/acaciamoor/openings/flow_tracker.py
+++ b/acaciamoor/openings/flow_tracker.py
@@ -17,6 +17,12 @@
 _HALF_SEQUENCE = 1 << 31
 
 
+# Time for which the end of a flow is remembered, and number of such flows. A
+# caller acknowledges the end of the other direction within a round trip.
+_ENDED_PERIOD = datetime.timedelta(seconds=2)
+_MAX_ENDED = 8192
+
+
 class TrackedFlow:
     """State of an open flow."""
 
@@ -77,6 +83,10 @@
         self._flows_by_key: collections.OrderedDict[
             pending.FlowKey, TrackedFlow
         ] = collections.OrderedDict()
+        # Flows that have ended lately, in the order of their ends.
+        self._ended_at_by_key: collections.OrderedDict[
+            pending.FlowKey, datetime.timedelta
+        ] = collections.OrderedDict()
 
     def __len__(self) -> int:
         return len(self._flows_by_key)
@@ -90,9 +100,11 @@
         length: int,
         now: datetime.timedelta,
         service: str = '',
-    ) -> TrackedFlow:
+    ) -> TrackedFlow | None:
         """Update the state of a flow from a packet.
 
+        Returns None for the last acknowledgement of a flow that has ended.
+
         Parameters
         ----------
         key : FlowKey
@@ -109,6 +121,8 @@
             Service of the upstream.
         """
         flow = self._flows_by_key.get(key)
+        if flow is None and not length and self._has_ended(key, now):
+            return None
         if flow is None or flow.upstream_id != upstream_id:
             flow = self._add(key, upstream_id, service, acknowledged, now)
         else:
@@ -153,6 +167,7 @@
         flow = self._flows_by_key.pop(key, None)
         if flow is None:
             return
+        self._remember_end(key, now)
         self._load_tracker.end_flow(flow.upstream_id)
         self._collector.remove_flow(flow.upstream_id)
         if not flow.busy:
@@ -162,6 +177,23 @@
             acknowledged = flow.acknowledged
         self._finish(flow, acknowledged, flow.acknowledged, now)
 
+    def _remember_end(
+        self, key: pending.FlowKey, now: datetime.timedelta
+    ) -> None:
+        ended = self._ended_at_by_key
+        ended[key] = now
+        ended.move_to_end(key)
+        while len(ended) > _MAX_ENDED or (
+            next(iter(ended.values())) < now - _ENDED_PERIOD
+        ):
+            ended.popitem(last=False)
+
+    def _has_ended(
+        self, key: pending.FlowKey, now: datetime.timedelta
+    ) -> bool:
+        ended_at = self._ended_at_by_key.get(key)
+        return ended_at is not None and now - ended_at <= _ENDED_PERIOD
+
     def expire(
         self, now: datetime.timedelta, idle: datetime.timedelta
     ) -> None:
