--- a/acaciamoor/forwarder/shell/driver.py
+++ b/acaciamoor/forwarder/shell/driver.py
@@ -107,7 +107,8 @@
 
     def _handle_batch(self) -> None:
         now = self._read_socket()
-        self._record_observations()
+        # Summaries come every 0.2 s, more often than the periodic check.
+        self._update_load(now)
         self._arm_retry_timer(now, _ZERO)
 
     def _read_socket(self) -> datetime.timedelta:
--- a/acaciamoor/load/scenarios/site_model.py
+++ b/acaciamoor/load/scenarios/site_model.py
@@ -208,6 +208,7 @@
         requests: int,
         first_sent_at: float,
         attempt: int = 1,
+        new: bool = True,
     ) -> None:
         pattern = self._pattern
         host = data_centre + pattern.data_centres * self._rng.randrange(
@@ -216,6 +217,7 @@
         flow = _Flow(
             host, data_centre, is_long, requests, first_sent_at, attempt, now
         )
+        flow.new = new
         if attempt == 1:
             self._count(flow)
             self._new += self._is_measured(first_sent_at)
@@ -330,6 +332,7 @@
                 flow.remaining_requests,
                 flow.first_sent_at,
                 flow.attempt + 1,
+                flow.new,
             )
 
     def _run_request(
