--- a/acaciamoor/load/tests/test_capacity_patterns.py
+++ b/acaciamoor/load/tests/test_capacity_patterns.py
@@ -73,10 +73,17 @@
         """Guards against late answers where slots are still free."""
         build = site_patterns.early_knee
         product = replay(build, PRODUCT)
-        for naive in (OWN_VIEW, HERD):
-            self.assertGreater(
-                replay(build, naive).late_new, 1.5 * product.late_new
-            )
+        naive = replay(build, HERD)
+        self.assertGreater(naive.late_new, 1.5 * product.late_new)
+        self.assertGreater(product.in_time, naive.in_time + 0.03)
+
+    def test_hosts_alone_fill_upstreams_that_slow_early(self):
+        """Guards against measured limits that are no better than slots."""
+        build = site_patterns.early_knee
+        product = replay(build, PRODUCT)
+        naive = replay(build, OWN_VIEW)
+        self.assertGreater(product.in_time, naive.in_time + 0.03)
+        self.assertGreater(naive.late_new, 1.5 * product.late_new)
 
 
 if __name__ == '__main__':
