--- a/acaciamoor/forwarder/tests/test_core.py
+++ b/acaciamoor/forwarder/tests/test_core.py
@@ -1,10 +1,14 @@
 """Forwarding decisions about packets."""
 
+import random
 import tracemalloc
 import unittest
 
+import msgspec
+
 from acaciamoor import directory
 from acaciamoor import forwarder
+from acaciamoor import load_reports
 from acaciamoor.directory.tests import builders as directory_builders
 from acaciamoor.forwarder.tests import builders
 
@@ -338,5 +342,51 @@
         self.assertAlmostEqual(100, chosen.count('bench-1'), delta=40)
 
 
+class SharedLoadTest(unittest.TestCase):
+    def test_core_takes_in_shared_load_and_the_limit_of_flows(self):
+        """Guards against reports and limits that reach no decision."""
+        entries = new_directory('desk-1', 'desk-2')
+        table = msgspec.structs.replace(
+            entries.table,
+            version=entries.route_version + 1,
+            limits_by_service={
+                directory_builders.SERVICE: directory.ServiceLimits(9)
+            },
+        )
+        entries.adopt_routes(table)
+        picture = load_reports.LoadPicture('kgn-a')
+        core = forwarder.ForwarderCore(
+            forwarder.CoreSettings('kgn-a'),
+            entries,
+            random.Random(1),
+            load_picture=picture,
+        )
+        for number in range(1, 31):
+            now = number * 0.2 * directory_builders.SECOND
+            finished = 6 if number < 20 else 1
+            loads = [
+                load_reports.UpstreamLoad('desk-1', 1, 9, 6, finished, 0.2),
+                load_reports.UpstreamLoad('desk-2', 1, 1, 6, 6, 0.2),
+            ]
+            picture.record(
+                load_reports.LoadSummary(
+                    'kgn-a', 'host-1', 1, number, 75, 0.1, 0.2, loads
+                ),
+                now,
+            )
+            core.update_load(now)
+        (change,) = {
+            item.upstream_id: item for item in core.take_observations()
+        }.values()
+        self.assertEqual('desk-1', change.upstream_id)
+        self.assertLess(change.rate, change.rate_before / 2)
+        for number in range(5):
+            packet = builders.packet(
+                caller=(0x64400007, 40100 + number), opens=True
+            )
+            placed = core.handle(b'syn', packet, now)
+            self.assertEqual('desk-2', placed.forward.upstream_id)
+
+
 if __name__ == '__main__':
     unittest.main()
