--- a/acaciamoor/load/scenarios/openings.py
+++ b/acaciamoor/load/scenarios/openings.py
@@ -275,3 +275,4 @@
             'Replay crowds on the admission of new flows.',
             run_crowd,
         )
+    )
