--- a/acaciamoor/load/scenarios/openings.py
+++ b/acaciamoor/load/scenarios/openings.py
@@ -20,8 +20,8 @@
 NAME = 'openings-crest'
 PATTERNS_NAME = 'openings-patterns'
 SITE_NAME = 'openings-site'
-CROWD_NAME = 'openings-crowd'
 CAPACITY_NAME = 'openings-capacity'
+CROWD_NAME = 'openings-crowd'
 # Hosts of the replayed site; the larger one has 30 in each data centre.
 SITE_SIZES = (9, 90)
 # Requests per second and upstream at the peak of a demand swing (the measures
@@ -255,13 +255,6 @@
             run_patterns,
         )
     )
-    scenarios.add(
-        registry.Scenario(
-            CROWD_NAME,
-            'Replay crowds on the admission of new flows.',
-            run_crowd,
-        )
-    )
     scenarios.add(
         registry.Scenario(
             SITE_NAME,
@@ -276,3 +269,10 @@
             run_capacity,
         )
     )
+    scenarios.add(
+        registry.Scenario(
+            CROWD_NAME,
+            'Replay crowds on the admission of new flows.',
+            run_crowd,
+        )
+    )
