--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -308,7 +308,10 @@
     ) -> dict[int, float]:
         """Return shares that fall no faster than the settings allow."""
         settings = self._settings
-        if sample.rejected > settings.fast_rejected * sample.started:
+        if (
+            not sample.finished
+            or sample.rejected > settings.fast_rejected * sample.started
+        ):
             return shares_by_priority
         before = self._evidence_by_service.get(service)
         previous: collections.abc.Mapping[int, float] = {}
@@ -409,12 +412,14 @@
         priorities = self._priorities_by_service[service]
         interval_s = self._picture.interval.total_seconds()
         left, unanswered = admitted, sample.finished / interval_s
+        share = 1.0
         for priority in priorities:
             offered = sample.openings_by_priority.get(priority, 0.0)
-            room = left if priority == priorities[-1] else unanswered
-            share = 1.0
+            room = left
+            if priority != priorities[-1]:
+                room = max(left, unanswered)
             if offered:
-                share = min(1.0, max(room, floor) / offered)
+                share = min(share, max(room, floor) / offered)
             shares_by_priority[priority] = share
             left -= share * offered
             unanswered -= share * offered
--- a/acaciamoor/capacity/concurrency.py
+++ b/acaciamoor/capacity/concurrency.py
@@ -26,7 +26,7 @@
     Examples
     --------
     >>> round(busy_slots(0.2, 2), 2), round(busy_slots(8.0, 2), 2)
-    (0.2, 1.94)
+    (0.2, 1.99)
     """
     if in_progress <= 0.0:
         return 0.0
--- a/acaciamoor/pacing/shares.py
+++ b/acaciamoor/pacing/shares.py
@@ -29,9 +29,9 @@
     --------
     >>> hosts = {'kgn-a': ('h-1', 'h-2'), 'kgn-b': ('h-3',)}
     >>> [find_share('i-1', 9, host, 'kgn-a', hosts) for host in hosts['kgn-a']]
-    [3, 2]
+    [2, 2]
     >>> find_share('i-1', 9, 'h-3', 'kgn-b', hosts)
-    4
+    5
     """
     key = hashing.hash64(upstream_id)
     part = _find_part(key, total, own_data_centre, hosts_by_data_centre)
