--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -403,22 +403,30 @@
         """Return the shares of the priorities, the most important first.
 
         Only openings of the least important priority pay for the flows that
-        are open. More important ones are refused where they alone ask for more
-        than the upstreams answer: single requests of theirs replace no long
-        flow, and an upstream that is full rejects them itself.
+        are open. The most important ones are never refused for their priority,
+        and those in between where they ask for more than the upstreams
+        answer: single requests of theirs replace no long flow, and an
+        upstream that is full rejects them itself.
         """
         shares_by_priority = {}
         floor = self._settings.min_share * max(sample.opened, admitted)
         priorities = self._priorities_by_service[service]
         interval_s = self._picture.interval.total_seconds()
         left, unanswered = admitted, sample.finished / interval_s
+        before = self._evidence_by_service.get(service)
         share = 1.0
-        for priority in priorities:
+        for number, priority in enumerate(priorities):
             offered = sample.openings_by_priority.get(priority, 0.0)
-            room = left
-            if priority != priorities[-1]:
-                room = max(left, unanswered)
-            if offered:
+            last = priority == priorities[-1]
+            if not last and (
+                before is None
+                or before.shares_by_priority.get(priority, 1.0) >= 1.0
+            ):
+                # All of these were refused for their caller, whose excess is
+                # no demand to be met.
+                offered -= sample.refused_by_priority.get(priority, 0.0)
+            room = left if last else max(left, unanswered)
+            if number and offered > 0.0:
                 share = min(share, max(room, floor) / offered)
             shares_by_priority[priority] = share
             left -= share * offered
