--- /dev/null
+++ b/acaciamoor/configuration_check/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checks of a configuration file."""
--- a/acaciamoor/ctl/flags.py
+++ b/acaciamoor/ctl/flags.py
@@ -130,6 +130,19 @@
     'Show changes after this version; 0 shows all services first.',
 )
 
+FILE = settings.RequiredFlag(
+    'file',
+    settings.path,
+    'JSON file with the list of services, as they are stored.',
+    positional=True,
+)
+AGAINST = settings.Flag(
+    'against',
+    settings.optional(settings.path),
+    None,
+    'JSON file with the version in force, for a comparison.',
+)
+
 _OPTIONAL_NUMBER = settings.optional(settings.number())
 POLICY_FLAGS_BY_FIELD = {
     'queue_limit': settings.Flag(
@@ -217,4 +230,9 @@
         'End the evacuation of a data centre.',
         (DATA_CENTRE, *_CHANGE_FLAGS),
     ),
+    settings.Command(
+        'check',
+        'Check a configuration file before it is sent; needs no server.',
+        (FILE, AGAINST),
+    ),
 )
--- a/acaciamoor/ctl/main.py
+++ b/acaciamoor/ctl/main.py
@@ -6,6 +6,7 @@
 
 import grpc
 
+from acaciamoor.ctl import check
 from acaciamoor.ctl import client
 from acaciamoor.ctl import commands
 from acaciamoor.ctl import flags
@@ -16,8 +17,8 @@
 
 PROGRAM = 'acaciamoorctl'
 _EPILOG = (
-    'exit codes: 0 success or accepted, 1 failure, 2 bad settings, '
-    '3 refused or conflict, 4 outcome unknown'
+    'exit codes: 0 success or accepted, 1 failure or findings of check, '
+    '2 bad settings, 3 refused or conflict, 4 outcome unknown'
 )
 _EXIT_CODES_BY_OUTCOME = {
     'accepted': settings.ExitCode.SUCCESS,
@@ -40,7 +41,7 @@
     """
     parser = settings.SettingsParser(
         PROGRAM,
-        'Creates and changes services, and evacuates data centres.',
+        'Checks, creates and changes services, and evacuates data centres.',
         flags.COMMON_FLAGS,
         flags.COMMANDS,
         _EPILOG,
@@ -50,6 +51,8 @@
 
 async def run(given: settings.Settings) -> settings.ExitCode:
     """Execute the command and return the exit code."""
+    if given.command == 'check':
+        return check.run(given)
     timeout = given[flags.TIMEOUT].total_seconds()
     async with client.open_channel(given) as channel:
         try:
--- a/acaciamoor/tests/test_core_imports.py
+++ b/acaciamoor/tests/test_core_imports.py
@@ -11,6 +11,7 @@
     'admission',
     'balancer/core',
     'configuration',
+    'configuration_check',
     'directory',
     'findings',
     'flows',
