--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -254,7 +254,8 @@
         if now >= self._check_at:
             self._check_at = now + self._settings.refresh_interval
             self._revision = 0
-            if self._picture.is_fresh(now):
+            # A sum of no reports has no interval, and says nothing of a rate.
+            if self._picture.is_fresh(now) and self._picture.interval:
                 self._revision = self._picture.revision
         evidence = self._evidence_by_service.get(service)
         if evidence is None or evidence.revision != self._revision:
@@ -368,7 +369,8 @@
         opened = sum(item.opened for item in samples) / count
         elapsed = (last.taken_at - first.taken_at).total_seconds()
         growth = 0.0
-        if elapsed:
+        # The reports of another sender may be older than those before.
+        if elapsed > 0.0:
             growth = (last.open_flows - first.open_flows) / elapsed
         ended = max(0.0, opened - growth)
         settling_s = self._settings.settling_time.total_seconds()
--- a/acaciamoor/admission/tests/builders.py
+++ b/acaciamoor/admission/tests/builders.py
@@ -75,10 +75,25 @@
             DATA_CENTRE, 'h-1', 1, 0, 75, 0.1, 0.2
         )
 
-    def report(self, at, in_progress, demands, **counts) -> None:
+    def report(
+        self,
+        at,
+        in_progress,
+        demands,
+        *,
+        interval=0.2,
+        sender='h-1',
+        hosts=75,
+        age=0.1,
+        **counts,
+    ) -> None:
         """Receive a summary; `demands` are openings and refused ones."""
         self._summary = msgspec.structs.replace(
             self._summary,
+            sender=sender,
+            hosts=hosts,
+            age=age,
+            interval=interval,
             serial=self._summary.serial + 1,
             upstreams=[
                 load_reports.UpstreamLoad(
--- a/acaciamoor/admission/tests/test_controller.py
+++ b/acaciamoor/admission/tests/test_controller.py
@@ -53,6 +53,38 @@
         self.assertLess(site.share(LESS_IMPORTANT, 1.1 * SECOND), 1.0)
         self.assertEqual(1.0, site.share(LESS_IMPORTANT, 2.6 * SECOND))
 
+    def test_summary_of_no_hosts_refuses_nothing(self):
+        """Guards against a division by its interval, which is zero.
+
+        Each opening was lost while the summing host had only old reports.
+        """
+        site = builders.Site()
+        site.report(1 * SECOND, 8, DEMANDS, interval=0.0, **FULL)
+        self.assertEqual(1.0, site.share(LESS_IMPORTANT, 1.1 * SECOND))
+
+    def test_older_reports_of_another_sender_are_no_negative_time(self):
+        """Guards against growth of the flows with the wrong sign.
+
+        The sum of more hosts replaces a newer one that has older reports.
+        """
+        site = builders.Site()
+        counts = {**FULL, 'open_flows': 60}
+        site.report(1 * SECOND, 8, DEMANDS, **counts)
+        site.share(LESS_IMPORTANT, 1.1 * SECOND, 1)
+        site.report(
+            1.2 * SECOND, 8, DEMANDS, sender='h-2', hosts=80, age=0.5, **FULL
+        )
+        site.share(LESS_IMPORTANT, 1.3 * SECOND, 1)
+        falling = site.controller.evidence_of(builders.SERVICE).admitted
+        alone = builders.Site()
+        alone.report(1.2 * SECOND, 8, DEMANDS, **FULL)
+        alone.share(LESS_IMPORTANT, 1.3 * SECOND, 1)
+        self.assertAlmostEqual(
+            alone.controller.evidence_of(builders.SERVICE).admitted,
+            falling,
+            delta=1.0,
+        )
+
     def test_service_with_one_priority_is_left_alone(self):
         """Guards against a part that acts where it was not asked for."""
         site = overloaded_site(priorities=(2,))
