--- a/acaciamoor/capacity/concurrency.py
+++ b/acaciamoor/capacity/concurrency.py
@@ -88,7 +88,8 @@
             for answers, seconds, busy in zip(
                 self._answers, self._seconds, self._busy, strict=True
             )
-            if answers >= _MIN_ANSWERS
+            # Answers in no measurable time show no best number.
+            if answers >= _MIN_ANSWERS and busy > 0.0
         ]
         for number, (busy, rate) in enumerate(points):
             above = [
--- a/acaciamoor/capacity/tests/test_estimator.py
+++ b/acaciamoor/capacity/tests/test_estimator.py
@@ -1,7 +1,9 @@
 """Measured capacity of upstreams, from samples without noise."""
 
+import datetime
 import unittest
 
+from acaciamoor import capacity
 from acaciamoor.capacity.tests import builders
 
 
@@ -72,6 +74,24 @@
         self.assertAlmostEqual(typical.rate, found.rate, delta=3)
         self.assertEqual(2.0, found.limit)
 
+    def test_answers_in_no_time_are_no_limit_of_zero(self):
+        """Guards against divisions by a limit or rate of zero.
+
+        Durations below the resolution of the clock add up to nothing.
+        """
+        estimator = capacity.CapacityEstimator()
+        second = datetime.timedelta(seconds=1)
+        for number in range(40):
+            busy = capacity.CapacitySample(0.2, 4, 6, 0.8)
+            odd = busy
+            if number < 20:
+                odd = capacity.CapacitySample(0.2, 0, 40, 0.0)
+            for upstream_id, sample in (('a', busy), ('odd', odd)):
+                estimator.update(upstream_id, 2, sample, number * second / 5)
+            found = estimator.estimate('odd', number * second / 5)
+            self.assertGreater(found.limit, 0.0)
+            self.assertGreater(found.rate, 0.0)
+
     def test_without_work_nothing_is_known(self):
         """Guards against invented figures in a service without requests."""
         self.load.run(4, ('a', 0, 1.0))
