--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -251,9 +251,10 @@
             Current time.
         """
         table = self._find_table(candidates, now)
-        allowed: collections.abc.Container[model.UpstreamId] | None = None
-        if len(candidates) != len(table.candidates):
-            allowed = {entry.upstream_id for entry in candidates}
+        # The table may hold further upstreams, and entries that have changed.
+        allowed: dict[model.UpstreamId, directory.UpstreamEntry] | None = None
+        if candidates != table.candidates:
+            allowed = {entry.upstream_id: entry for entry in candidates}
 
         def accepts(number: int) -> bool:
             upstream_id = table.candidates[number].upstream_id
@@ -284,9 +285,10 @@
             ]
         if not drawn:
             return None
-        return table.candidates[
+        chosen = table.candidates[
             min(drawn, key=lambda number: self._rank(table, number, costs))
         ]
+        return chosen if allowed is None else allowed[chosen.upstream_id]
 
     def _draw(
         self,
@@ -365,6 +367,9 @@
             self._update_level(load, now)
         for upstream_id in services_by_id:
             self._note_change(upstream_id, now)
+        services = set(services_by_id.values())
+        for service in self._tables_by_service.keys() - services:
+            del self._tables_by_service[service]
         self._update_demands(services_by_id, now)
 
     def _find_table(
@@ -425,7 +430,7 @@
             table.open_flows.append(load.open_flows)
             # The draw follows what changes slowly. In proportion to free
             # room, all hosts go where a summary 0.3 s ago showed most of it.
-            weight = rate * min(1.0, limit / entry.upstream.slots)
+            weight = rate * min(1.0, limit / max(1, entry.upstream.slots))
             if self._failure_detector.is_suspected(upstream_id, now):
                 weight = 0.0
             is_local = entry.upstream.data_centre == self._data_centre
--- a/acaciamoor/openings/tests/test_shared_load.py
+++ b/acaciamoor/openings/tests/test_shared_load.py
@@ -3,6 +3,7 @@
 import collections
 import datetime
 import random
+import sys
 import unittest
 
 from acaciamoor import directory
@@ -132,6 +133,41 @@
         self.report_all(load('desk-0', 2, 1, 0.3))
         self.assertEqual(changes, self.site.changes)
 
+    def test_changed_entry_is_used_at_once(self):
+        """Guards against flows to the address that an upstream had before.
+
+        Its entry changes between two summaries.
+        """
+        self.report_all()
+        self.site.count(1, reports=False)
+        changed = [
+            builders.upstream_entry(f'desk-{n}', 2, port=9090)
+            for n in range(4)
+        ]
+        for candidates in (changed, changed[:2]):
+            entry = self.site.placer.choose(
+                candidates, IDEMPOTENT, (), self.site.now
+            )
+            self.assertEqual(9090, entry.upstream.address.port)
+
+    def test_upstream_without_slots_is_no_fault(self):
+        """Guards against a division by the slots of an entry."""
+        self.entries[0] = builders.upstream_entry('desk-0', slots=0)
+        self.report_all()
+        self.assertNotIn(None, self.site.count(20))
+
+    def test_services_without_upstreams_are_forgotten(self):
+        """Guards against memory that grows with the services of the past."""
+        references = sys.getrefcount(self.entries[0])
+        self.report_all()
+        self.site.count(1, reports=False)
+        self.assertGreater(sys.getrefcount(self.entries[0]), references)
+        self.site.entries = [
+            builders.upstream_entry('board-0', service='order-board')
+        ]
+        self.site.report([load('board-0')], 1)
+        self.assertEqual(references, sys.getrefcount(self.entries[0]))
+
     def test_suspected_and_tried_upstreams_rank_last(self):
         """Guards against a second attempt at a silent upstream."""
         self.report_all()
