--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -302,13 +302,19 @@
     ) -> list[directories.UpstreamEntry]:
         """Return the upstreams where the pace of warm-up allows a flow.
 
-        There are none for an opening behind others that wait for the pace.
+        There are none for an opening behind others that wait for the pace,
+        unless all upstreams are warm by now.
         """
         limits = self._get_limits(opening.service)
         if limits is None or not limits.warm_up_rate:
             return entries
-        if now == opening.received_at and self._count_waiting(
-            opening.service, now
+        if (
+            now == opening.received_at
+            and self._count_waiting(opening.service, now)
+            and any(
+                self.pacer.is_limited(entry.upstream_id, limits, now)
+                for entry in entries
+            )
         ):
             return []
         may_open = self.pacer.may_open
--- a/acaciamoor/forwarder/tests/test_warm_up.py
+++ b/acaciamoor/forwarder/tests/test_warm_up.py
@@ -147,6 +147,19 @@
         sent = self.core.resume_waiting(21 * MS)
         self.assertEqual(list(range(1, 10)), [item.key[1] for item in sent])
 
+    def test_line_ends_with_the_warm_up(self):
+        """Guards against a line that new openings keep up for ever.
+
+        Each of them waited for the time of a retry, as others did.
+        """
+        self.fill()
+        for port, offset in ((903, 59000), (904, 59010), (1, 59990)):
+            self.open_flow(offset * MS, port)
+        for port in range(2, 9):
+            self.assertIsInstance(
+                self.open_flow((60000 + port) * MS, port), forwarder.Placement
+            )
+
     def test_nothing_changes_without_a_rate(self):
         """Guards against a limit that the configuration does not set."""
         table = make_table(rate=0.0)
--- a/acaciamoor/pacing/pacer.py
+++ b/acaciamoor/pacing/pacer.py
@@ -186,6 +186,18 @@
             now + warm_up, self._warm_at_by_id.get(upstream_id, now)
         )
 
+    def is_limited(
+        self,
+        upstream_id: model.UpstreamId,
+        limits: directory.ServiceLimits | None,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Return whether the pace limits the flows at an upstream now."""
+        if self._settings is None or limits is None or not limits.warm_up_rate:
+            return False
+        warm_at = self._warm_at_by_id.get(upstream_id)
+        return warm_at is not None and now < warm_at
+
     def may_open(
         self,
         upstream_id: model.UpstreamId,
@@ -193,7 +205,7 @@
         now: datetime.timedelta,
     ) -> bool:
         """Return whether this host may open a flow at an upstream now."""
-        if not self._is_limited(upstream_id, limits, now):
+        if not self.is_limited(upstream_id, limits, now):
             return True
         share = self._find_share(upstream_id, limits, now)
         return len(self._get_times(upstream_id, now)) < share
@@ -206,7 +218,7 @@
         until: datetime.timedelta,
     ) -> int:
         """Return how many flows this host may open before `until`."""
-        if not self._is_limited(upstream_id, limits, now):
+        if not self.is_limited(upstream_id, limits, now):
             return _MAX_BOUND
         share = self._find_share(upstream_id, limits, now)
         if not share:
@@ -256,17 +268,6 @@
         for item in self._lists:
             item.forget(upstream_id)
 
-    def _is_limited(
-        self,
-        upstream_id: model.UpstreamId,
-        limits: directory.ServiceLimits | None,
-        now: datetime.timedelta,
-    ) -> bool:
-        if self._settings is None or limits is None or not limits.warm_up_rate:
-            return False
-        warm_at = self._warm_at_by_id.get(upstream_id)
-        return warm_at is not None and now < warm_at
-
     def _find_share(
         self,
         upstream_id: model.UpstreamId,
