--- a/acaciamoor/capacity/estimator.py
+++ b/acaciamoor/capacity/estimator.py
@@ -10,6 +10,7 @@
 import datetime
 import math
 import statistics
+import sys
 
 import msgspec
 
@@ -227,7 +228,10 @@
             rate = min(rate, limit / service_time)
         ratio = service_time / typical
         if ratio > _SLOW_RATIO:
-            limit *= (_SLOW_RATIO / ratio) ** _SLOW_EXPONENT
+            # The power of a tiny ratio is 0, by which the choice would divide.
+            limit *= max(
+                (_SLOW_RATIO / ratio) ** _SLOW_EXPONENT, sys.float_info.min
+            )
         return Capacity(limit, rate, service_time, known)
 
     def forget(self, upstream_id: model.UpstreamId) -> None:
--- a/acaciamoor/capacity/tests/test_estimator.py
+++ b/acaciamoor/capacity/tests/test_estimator.py
@@ -92,6 +92,23 @@
             self.assertGreater(found.limit, 0.0)
             self.assertGreater(found.rate, 0.0)
 
+    def test_limit_beside_answers_in_no_time_is_above_zero(self):
+        """Guards against divisions by a limit below the smallest number.
+
+        The service time of the others decays to almost nothing.
+        """
+        estimator = capacity.CapacityEstimator()
+        second = datetime.timedelta(seconds=1)
+        for number in range(1000):
+            fast = capacity.CapacitySample(0.2, 0, 40, 0.0)
+            busy = capacity.CapacitySample(0.2, 1, 6, 0.2)
+            if number < 8:
+                fast = busy
+            for upstream_id, sample in (('a', fast), ('b', fast), ('c', busy)):
+                estimator.update(upstream_id, 2, sample, number * second / 5)
+            found = estimator.estimate('c', number * second / 5)
+            self.assertGreater(found.limit, 0.0, number)
+
     def test_without_work_nothing_is_known(self):
         """Guards against invented figures in a service without requests."""
         self.load.run(4, ('a', 0, 1.0))
