--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -81,8 +81,8 @@
         self._observations: list[effects.Observation] = []
         # Services without upstreams, and since when.
         self._empty_since_by_service: dict[str, datetime.timedelta] = {}
-        # Services for which openings wait for the pace of warm-up, and since
-        # when the last one does.
+        # Services for which openings wait for the pace of warm-up, and when
+        # the pace kept the last new one back.
         self._waited_at_by_service: dict[str, datetime.timedelta] = {}
         self.pacer = pacing.WarmUpPacer(settings.pacing, settings.host_id)
         self.placer = openings.OpeningPlacer(
@@ -302,13 +302,19 @@
     ) -> list[directories.UpstreamEntry]:
         """Return the upstreams where the pace of warm-up allows a flow.
 
-        There are none for an opening behind others that wait for the pace.
+        There are none for an opening behind others that wait for the pace,
+        unless all upstreams are warm by now.
         """
         limits = self._get_limits(opening.service)
         if limits is None or not limits.warm_up_rate:
             return entries
-        if now == opening.received_at and self._count_waiting(
-            opening.service, now
+        if (
+            now == opening.received_at
+            and self._count_waiting(opening.service, now)
+            and any(
+                self.pacer.is_limited(entry.upstream_id, limits, now)
+                for entry in entries
+            )
         ):
             return []
         may_open = self.pacer.may_open
@@ -356,7 +362,12 @@
             for entry in entries
         )
         if ahead < room:
-            self._waited_at_by_service[opening.service] = now
+            # One that waits for its turn only does not prolong the line.
+            may_open = self.pacer.may_open
+            if not any(
+                may_open(entry.upstream_id, limits, now) for entry in entries
+            ):
+                self._waited_at_by_service[opening.service] = now
             return self._wait(opening, now, _WAIT_FOR_PACE)
         return self._refuse(
             opening, now, effects.RefusalReason.WARM_UP, _WARM_UP
--- a/acaciamoor/forwarder/tests/test_warm_up.py
+++ b/acaciamoor/forwarder/tests/test_warm_up.py
@@ -147,6 +147,33 @@
         sent = self.core.resume_waiting(21 * MS)
         self.assertEqual(list(range(1, 10)), [item.key[1] for item in sent])
 
+    def test_line_ends_with_the_warm_up(self):
+        """Guards against a line that new openings keep up for ever.
+
+        Each of them waited for the time of a retry, as others did.
+        """
+        self.fill()
+        for port, offset in ((903, 59000), (904, 59010), (1, 59990)):
+            self.open_flow(offset * MS, port)
+        for port in range(2, 9):
+            self.assertIsInstance(
+                self.open_flow((60000 + port) * MS, port), forwarder.Placement
+            )
+
+    def test_line_ends_beside_a_warm_upstream(self):
+        """Guards against the same line while one of two stays in warm-up."""
+        self.directory.put_upstream(
+            directory_builders.upstream_entry('desk-2')
+        )
+        self.core.pacer.set_warm_up('desk-2', 10 * SECOND, 0 * SECOND)
+        decisions = []
+        for at in range(9000, 12000, 10):
+            decisions.append(self.open_flow(at * MS, at))
+            self.core.retry_openings((at + 5) * MS)
+        self.assertIn(WAITING, decisions[:100])
+        # The last one that the pace kept back has been placed or given up.
+        self.assertNotIn(WAITING, decisions[-50:])
+
     def test_nothing_changes_without_a_rate(self):
         """Guards against a limit that the configuration does not set."""
         table = make_table(rate=0.0)
