--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -195,6 +195,7 @@
 
     def update_load(self, now: datetime.timedelta) -> None:
         """Take in the load that hosts share, if there is a new summary."""
+        self._flow_tracker.abandon_silent(now)
         self.placer.update_load(self._directory.entries_by_id.values(), now)
 
     def expire(self, now: datetime.timedelta) -> None:
--- a/acaciamoor/load_reports/collector.py
+++ b/acaciamoor/load_reports/collector.py
@@ -108,6 +108,7 @@
         service: str,
         duration: datetime.timedelta,
         size: int,
+        in_progress: bool = True,
     ) -> None:
         """Record that a request was answered.
 
@@ -121,8 +122,11 @@
             Time from the request to the first acknowledgement.
         size : int
             Bytes of the response that were acknowledged by then.
+        in_progress : bool
+            Whether the request still counts as in progress.
         """
-        self.abandon_request(upstream_id)
+        if in_progress:
+            self.abandon_request(upstream_id)
         counts = self._find(upstream_id)
         usual = self._usual_by_service.get(service)
         if usual is None:
--- a/acaciamoor/openings/flow_tracker.py
+++ b/acaciamoor/openings/flow_tracker.py
@@ -17,6 +17,11 @@
 _HALF_SEQUENCE = 1 << 31
 
 
+# Silence of a caller during a request after which the request is no longer
+# reported as in progress. When hosts join or leave, most flows go on through
+# other hosts, and this one never sees their answers: after a restart of all
+# hosts the reports held 34 requests at upstreams that take 10.
+_MAX_REQUEST_SILENCE = datetime.timedelta(seconds=1)
 # Time for which the end of a flow is remembered, and number of such flows. A
 # caller acknowledges the end of the other direction within a round trip.
 _ENDED_PERIOD = datetime.timedelta(seconds=2)
@@ -83,6 +88,10 @@
         self._flows_by_key: collections.OrderedDict[
             pending.FlowKey, TrackedFlow
         ] = collections.OrderedDict()
+        # Flows whose request is reported as in progress, by its start.
+        self._reported_by_key: collections.OrderedDict[
+            pending.FlowKey, TrackedFlow
+        ] = collections.OrderedDict()
         # Flows that have ended lately, in the order of their ends.
         self._ended_at_by_key: collections.OrderedDict[
             pending.FlowKey, datetime.timedelta
@@ -133,13 +142,14 @@
         flow.last_seen_at = now
         if flow.busy and answered:
             flow.busy = False
-            self._finish(flow, acknowledged, before, now)
+            self._finish(key, flow, acknowledged, before, now)
             self._load_tracker.end_request(upstream_id, now)
             self._demand_tracker.add_answered(
                 flow.service, now - flow.busy_since
             )
         if length and _advance(flow, sequence + length) and not flow.busy:
             flow.busy, flow.busy_since = True, now
+            self._reported_by_key[key] = flow
             self._collector.begin_request(upstream_id)
             self._load_tracker.begin_request(upstream_id, now)
             self._demand_tracker.begin_request(flow.service, now)
@@ -175,7 +185,7 @@
         self._load_tracker.end_request(flow.upstream_id, now)
         if acknowledged is None:
             acknowledged = flow.acknowledged
-        self._finish(flow, acknowledged, flow.acknowledged, now)
+        self._finish(key, flow, acknowledged, flow.acknowledged, now)
 
     def _remember_end(
         self, key: pending.FlowKey, now: datetime.timedelta
@@ -194,6 +204,21 @@
         ended_at = self._ended_at_by_key.get(key)
         return ended_at is not None and now - ended_at <= _ENDED_PERIOD
 
+    def abandon_silent(self, now: datetime.timedelta) -> None:
+        """Report no longer the requests whose callers are silent for long."""
+        limit = now - _MAX_REQUEST_SILENCE
+        reported = self._reported_by_key
+        for _ in range(len(reported)):
+            key, flow = next(iter(reported.items()))
+            if flow.busy_since > limit:
+                return
+            if flow.last_seen_at > limit:
+                # An upload that goes on; looked at again after the others.
+                reported.move_to_end(key)
+                continue
+            del reported[key]
+            self._collector.abandon_request(flow.upstream_id)
+
     def expire(
         self, now: datetime.timedelta, idle: datetime.timedelta
     ) -> None:
@@ -226,18 +251,24 @@
 
     def _finish(
         self,
+        key: pending.FlowKey,
         flow: TrackedFlow,
         acknowledged: int,
         before: int,
         now: datetime.timedelta,
     ) -> None:
         """Report the end of a request, answered if there is a response."""
+        reported = self._reported_by_key.pop(key, None) is not None
         size = (acknowledged - before) & _SEQUENCE_MASK
         if 0 < size < _HALF_SEQUENCE:
             self._collector.finish_request(
-                flow.upstream_id, flow.service, now - flow.busy_since, size
+                flow.upstream_id,
+                flow.service,
+                now - flow.busy_since,
+                size,
+                reported,
             )
-        else:
+        elif reported:
             # Also a packet that was overtaken on its way.
             self._collector.abandon_request(flow.upstream_id)
 
--- a/acaciamoor/openings/tests/test_openings.py
+++ b/acaciamoor/openings/tests/test_openings.py
@@ -6,6 +6,7 @@
 import unittest
 
 from acaciamoor import directory
+from acaciamoor import load_reports
 from acaciamoor import openings
 from acaciamoor.directory.tests import builders
 
@@ -299,6 +300,57 @@
         self.tracker.record_end(self.KEY, 0 * SECOND)
         self.assertEqual(0, self.load())
 
+    def test_last_acknowledgement_opens_no_flow(self):
+        """Guards against reports of flows that have ended.
+
+        A caller acknowledges the end of the other direction after its own.
+        """
+        self.record_packet(10, 500, 300)
+        self.tracker.record_end(self.KEY, 0 * SECOND)
+        self.record_packet(310, 900, 0, 0.1 * SECOND)
+        self.assertEqual(0, len(self.tracker))
+        self.record_packet(310, 900, 20, 0.2 * SECOND)
+        self.assertEqual(1, len(self.tracker))
+
+    def test_request_whose_caller_is_silent_is_not_reported(self):
+        """Guards against an overload that is none.
+
+        When hosts join or leave, flows go on through others, and a host does
+        not see the answers of the requests that it forwarded.
+        """
+        collector = load_reports.LoadCollector('h-1', 'kgn-a', 1)
+        self.tracker = openings.FlowTracker(
+            self.load_tracker,
+            openings.DemandTracker(),
+            load_collector=collector,
+        )
+        self.record_packet(10, 500, 300)
+        self.tracker.abandon_silent(0.9 * SECOND)
+        (load,) = collector.take_report(0.9 * SECOND).upstreams
+        self.assertEqual(1, load.in_progress)
+        self.tracker.abandon_silent(1.1 * SECOND)
+        (load,) = collector.take_report(1.1 * SECOND).upstreams
+        self.assertEqual(0, load.in_progress)
+        # It was slow after all; other requests keep their count.
+        self.tracker.record_packet((9, 9, 9, 9), 'a', 1, 1, 9, 2 * SECOND)
+        self.record_packet(310, 2500, 0, 2 * SECOND)
+        (load,) = collector.take_report(2 * SECOND).upstreams
+        self.assertEqual((1, 1), (load.in_progress, load.finished))
+
+    def test_request_of_an_upload_that_goes_on_is_reported(self):
+        """Guards against uploads that are taken for lost."""
+        collector = load_reports.LoadCollector('h-1', 'kgn-a', 1)
+        self.tracker = openings.FlowTracker(
+            self.load_tracker,
+            openings.DemandTracker(),
+            load_collector=collector,
+        )
+        for number in range(30):
+            self.record_packet(10 + number, 500, 1, 0.1 * number * SECOND)
+            self.tracker.abandon_silent(0.1 * number * SECOND)
+        (load,) = collector.take_report(3 * SECOND).upstreams
+        self.assertEqual(1, load.in_progress)
+
     def test_idle_flow_is_removed(self):
         """Guards against keeping flows whose end passed another host."""
         self.record_packet(10, 500, 300)
