Ask the store without a wait after a call that was cut off

Cause: a store that is restored from an older copy may give the revision that a host waits after to another change. A host whose call was cut off asked for changes after that revision with the long wait, and learned the new era at the end of the wait only.

Ruled out: an era in the request, which the platform's calls do not have; a listing after each failure, which costs more than a call without changes.

Change: after a call that failed or was cancelled, a source calls without a wait until the store responds. The backoff before the call is as before. A call without a wait that times out lets the backoff grow, because its timeout is too short to space out the attempts.

--- a/acaciamoor/forwarder/shell/sources.py
+++ b/acaciamoor/forwarder/shell/sources.py
@@ -52,29 +52,59 @@
 
 
 class _ObservedTransport:
-    """Transport of one source that records calls which fail.
+    """Transport of one source that records how its calls end.
 
-    A lost history is no failure: the store responds.
+    After a call that was cut off, calls ask without a wait until the store
+    responds. The store may have been restored from an older copy meanwhile
+    and have given the revision that a call waits after to another change.
+    Only the era in its response shows that, and with a wait it would not
+    respond before the wait ends.
     """
 
     def __init__(
-        self, transport: platform.Transport, source: 'StoreSource'
+        self,
+        transport: platform.Transport,
+        refresh: platform.Transport,
+        source: 'StoreSource',
     ) -> None:
         self._transport = transport
+        self._refresh = refresh
         self._source = source
 
     async def read_all(self, kind: str) -> platform.Listing:
         """Return the objects of a kind."""
         with self._source.observe_call():
-            return await self._transport.read_all(kind)
+            listing = await self._transport.read_all(kind)
+            self._source.record_response()
+            return listing
 
     async def stream(
         self, kind: str, after_version: int
     ) -> collections.abc.AsyncIterator[platform.WatchEvent]:
         """Yield the changes of one call, then a bookmark."""
+        stream = self._stream
+        if self._source.was_cut_off and self._transport is not self._refresh:
+            stream = self._stream_without_wait
         with self._source.observe_call():
-            async for event in self._transport.stream(kind, after_version):
+            async for event in stream(kind, after_version):
+                self._source.record_response()
+                yield event
+
+    def _stream(
+        self, kind: str, after_version: int
+    ) -> collections.abc.AsyncIterator[platform.WatchEvent]:
+        return self._transport.stream(kind, after_version)
+
+    async def _stream_without_wait(
+        self, kind: str, after_version: int
+    ) -> collections.abc.AsyncIterator[platform.WatchEvent]:
+        try:
+            async for event in self._refresh.stream(kind, after_version):
                 yield event
+        except platform.TimedOut as error:
+            # The timeout of a waiting call spaces out the attempts, this
+            # one is too short for that: the backoff has to grow instead.
+            raise platform.Unavailable(str(error)) from error
 
 
 class StoreSource:
@@ -117,18 +147,32 @@
         self._listed_at: datetime.timedelta | None = None
         # Start of the last call that failed.
         self.failed_at: datetime.timedelta | None = None
+        # Whether the last call failed or was cancelled.
+        self.was_cut_off = False
 
     @contextlib.contextmanager
     def observe_call(self) -> collections.abc.Iterator[None]:
-        """Record when a call was started if it fails."""
+        """Record that a call was cut off, and its start if it failed.
+
+        A lost history is no failure: the store responds.
+        """
         started_at = self._clock.monotonic()
         try:
             yield
         except platform.VersionExpired:
+            self.record_response()
             raise
         except platform.StoreError:
             self.failed_at = started_at
+            self.was_cut_off = True
             raise
+        except asyncio.CancelledError:
+            self.was_cut_off = True
+            raise
+
+    def record_response(self) -> None:
+        """Record that the store has responded to the last call."""
+        self.was_cut_off = False
 
     async def read_initial_listing(
         self, seed_wait: datetime.timedelta, seeds_failed: asyncio.Event
@@ -153,7 +197,7 @@
         sent_at = self._clock.monotonic()
         self._calls.add(call='list', kind=replica.kind)
         try:
-            transport = _ObservedTransport(self._store.watch, self)
+            transport = self._observe(self._store.watch)
             listing = await transport.read_all(replica.kind)
         except platform.StoreError as error:
             _LOG.warning('first listing of %s failed: %r', replica.kind, error)
@@ -215,6 +259,9 @@
     def _ended(self) -> bool:
         return self._task is None or self._task.done()
 
+    def _observe(self, transport: platform.Transport) -> _ObservedTransport:
+        return _ObservedTransport(transport, self._store.refresh, self)
+
     async def _run(self, mode: replicas.CallMode) -> None:
         replica = self._replica
         transport = {
@@ -224,7 +271,7 @@
         }[mode]
         base = replica.version
         watch = watching.ResumingWatch(
-            _ObservedTransport(transport, self),
+            self._observe(transport),
             replica.kind,
             base,
             platform.Backoff(
