Check configurations of the forwarders in acaciamoorctl check

The check knew only services as the operator API stores them. Routes that hosts ignore, or that another route hides, showed in the logs of the hosts at best.

Change: `configuration_check` checks routes and service limits on the model that hosts act on (directory.Route, ServiceLimits, RouteTable): goals above timeouts, a warm-up rate without a time, hidden routes and services, routes and services without each other, and the differences from the version in force, with the version that hosts would ignore. `--reader` names a module that translates the layout of a platform; that of the site decodes with the functions that hosts use, which `catalogue` now exposes.

Ruled out: an entry point of the package metadata, as the adapter is no distribution of its own; a second program in the adapter, as it would need its own flags, report and exit codes.

Left out: a limit of open flows below the slots, as slots are in the entries of upstreams and not in the configuration.

--- a/acaciamoor/configuration_check/checker.py
+++ b/acaciamoor/configuration_check/checker.py
@@ -1,6 +1,7 @@
 """Checks of the services of a configuration, one by one and together."""
 
 import collections.abc
+import functools
 import math
 
 from acaciamoor import findings
@@ -13,24 +14,31 @@
 
 Found = collections.abc.Iterator[findings.Finding]
 Documents = collections.abc.Sequence[documents.ServiceDocument]
-_IN_FORCE_PREFIX = 'against'
 
 
+@functools.singledispatch
 def check(
-    configuration: reader.Configuration,
-    in_force: reader.Configuration | None = None,
+    configuration: object, in_force: object | None = None
 ) -> report.Report:
     """Check `configuration` and compare it with the version in force.
 
     Parameters
     ----------
-    configuration : Configuration
+    configuration : Configuration or RouteConfiguration
         The configuration to send.
-    in_force : Configuration or None
-        Version in force; None for no comparison. Its damage is reported as
-        errors whose places begin with ``against``. Files that cannot be read
-        completely are not compared.
+    in_force : Configuration or RouteConfiguration or None
+        Version in force, of the same type; None for no comparison. Its damage
+        is reported as errors whose places begin with ``against``. Files that
+        cannot be read completely are not compared.
     """
+    raise TypeError(f'cannot check a {type(configuration).__name__}')
+
+
+@check.register
+def _check_services(
+    configuration: reader.Configuration,
+    in_force: reader.Configuration | None = None,
+) -> report.Report:
     items = [
         item
         for item in configuration.services
@@ -49,8 +57,7 @@
     found: tuple[differences.Difference, ...] = ()
     if in_force is not None:
         errors.extend(
-            findings.Finding(f'{_IN_FORCE_PREFIX} {item.place}', item.message)
-            for item in (*in_force.errors, *in_force.hidden)
+            report.damage_in_force(*in_force.errors, *in_force.hidden)
         )
     # An invalid service would appear to be deleted.
     if in_force is not None and not (configuration.errors or in_force.errors):
--- a/acaciamoor/configuration_check/differences.py
+++ b/acaciamoor/configuration_check/differences.py
@@ -29,7 +29,7 @@
     """Yield the differences between the active services of two versions."""
     before_by_name, after_by_name = _by_name(in_force), _by_name(wanted)
     for name in sorted(before_by_name.keys() | after_by_name.keys()):
-        yield from _compare_values(
+        yield from compare_values(
             f'{documents.SERVICE_KIND}.{name}',
             _to_value(before_by_name.get(name)),
             _to_value(after_by_name.get(name)),
@@ -95,7 +95,7 @@
         new = after.upstreams_by_id.get(key, old)
         if _is_drained(old, new):
             new = new.model_copy(update={'state': old.state})
-        for difference in _compare_values(
+        for difference in compare_values(
             f'{place}.upstreams_by_id.{key}',
             documents.to_json(old),
             documents.to_json(new),
@@ -130,13 +130,16 @@
     }
 
 
-def _compare_values(
+def compare_values(
     place: str, before: typing.Any, after: typing.Any
 ) -> collections.abc.Iterator[Difference]:
+    """Yield the differences between two values, for objects by field."""
     if isinstance(before, dict) and isinstance(after, dict):
         for key in sorted(before.keys() | after.keys()):
-            yield from _compare_values(
-                f'{place}.{key}', before.get(key), after.get(key)
+            yield from compare_values(
+                f'{place}.{key}' if place else key,
+                before.get(key),
+                after.get(key),
             )
     elif before != after:
         yield Difference(place, before, after)
--- a/acaciamoor/configuration_check/reader.py
+++ b/acaciamoor/configuration_check/reader.py
@@ -47,18 +47,9 @@
     ['services: is not a list']
     """
     try:
-        value = json.loads(
-            content.decode(),
-            object_pairs_hook=_Object,
-            parse_constant=_reject_constant,
-        )
-        hidden = tuple(_hidden_fields((), value))
-    except (ValueError, RecursionError) as error:
-        problem = findings.Finding(place, f'is not valid JSON: {error}')
-        return Configuration(errors=(problem,))
-    if not isinstance(value, dict):
-        problem = findings.Finding(place, 'is not an object')
-        return Configuration(errors=(problem,))
+        value, hidden = read_object(content, place)
+    except findings.FindingsError as error:
+        return Configuration(errors=error.findings)
     valid = []
     errors = [
         findings.Finding(key, 'is not a known field')
@@ -79,6 +70,41 @@
     return Configuration(tuple(valid), tuple(errors), hidden)
 
 
+def read_object(
+    content: bytes, place: str
+) -> tuple[dict[str, typing.Any], tuple[findings.Finding, ...]]:
+    """Return the object of a file, and the fields that others hide.
+
+    Parameters
+    ----------
+    content : bytes
+        Content of the file, in JSON.
+    place : str
+        Name of the file.
+
+    Raises
+    ------
+    FindingsError
+        If the content is no object in JSON.
+    """
+    problem = 'is not an object'
+    try:
+        value = json.loads(
+            content.decode(),
+            object_pairs_hook=_Object,
+            parse_constant=_reject_constant,
+        )
+        hidden = tuple(_hidden_fields((), value))
+    except (ValueError, RecursionError) as error:
+        problem = f'is not valid JSON: {error}'
+        value = None
+    if not isinstance(value, dict):
+        raise findings.FindingsError.of(
+            f'{place} cannot be read', [findings.Finding(place, problem)]
+        )
+    return value, hidden
+
+
 class _Object(dict[str, typing.Any]):
     """JSON object that keeps the names that occur more than once."""
 
--- a/acaciamoor/configuration_check/report.py
+++ b/acaciamoor/configuration_check/report.py
@@ -1,10 +1,14 @@
 """Result of the check of a configuration file."""
 
+import collections.abc
+
 import msgspec
 
 from acaciamoor import findings
 from acaciamoor.configuration_check import differences as comparison
 
+_IN_FORCE_PREFIX = 'against'
+
 
 class Report(msgspec.Struct, frozen=True):
     """Findings by kind, and differences from the version in force.
@@ -30,3 +34,13 @@
     def has_findings(self) -> bool:
         """Whether anything but differences was found."""
         return bool(self.errors or self.never_matched or self.contradictions)
+
+
+def damage_in_force(
+    *damage: findings.Finding,
+) -> collections.abc.Iterator[findings.Finding]:
+    """Yield the damage to the version in force, with places that say so."""
+    for item in damage:
+        yield findings.Finding(
+            f'{_IN_FORCE_PREFIX} {item.place}', item.message
+        )
--- a/acaciamoor/configuration_check/tests/builders.py
+++ b/acaciamoor/configuration_check/tests/builders.py
@@ -1,11 +1,19 @@
 """Test data for configuration files."""
 
+import datetime
 import json
 
+from acaciamoor import configuration_check
+from acaciamoor import directory
 from acaciamoor import model
 from acaciamoor.model import documents
 from acaciamoor.model.tests import builders
 
+SECOND = datetime.timedelta(seconds=1)
+LIMITS = directory.ServiceLimits(2000, 2 * SECOND, 20.0)
+# 198.18.0.1.
+_IP = 0xC6120001
+
 
 def service(
     name: str = 'order-desk',
@@ -27,3 +35,27 @@
 def content(*services: object) -> bytes:
     """Return the content of a file with `services`."""
     return json.dumps({'services': services}).encode()
+
+
+def route(
+    port: int = 8443, weights: dict[str, float] | None = None, **fields: object
+) -> directory.Route:
+    """Return a route to `order-desk`, with `fields` replaced."""
+    fields = {'timeout': 0.8 * SECOND, 'response_goal': 0.12 * SECOND} | fields
+    return directory.Route(
+        f'r-{port}',
+        (_IP, port),
+        weights or {'order-desk': 1.0},
+        **fields,
+    )
+
+
+def routes(
+    *items: directory.Route,
+    services: tuple[tuple[str, directory.ServiceLimits], ...] | None = (
+        ('order-desk', LIMITS),
+    ),
+    version: int = 4,
+) -> configuration_check.RouteConfiguration:
+    """Return a configuration of the forwarders."""
+    return configuration_check.RouteConfiguration(version, items, services)
--- a/acaciamoor/ctl/check.py
+++ b/acaciamoor/ctl/check.py
@@ -1,5 +1,7 @@
 """The command ``check``, which needs no server."""
 
+import collections.abc
+import importlib
 import json
 import pathlib
 import typing
@@ -11,6 +13,8 @@
 import acaciamoor.findings as findings
 import acaciamoor.settings as settings
 
+_Read = collections.abc.Callable[[bytes, str], object]
+
 
 def run(given: settings.Settings) -> settings.ExitCode:
     """Print the findings on a file and return the exit code.
@@ -18,12 +22,13 @@
     Raises
     ------
     FindingsError
-        If a file cannot be read, which is a bad call.
+        If a file or the reader cannot be read, which is a bad call.
     """
-    configuration = _read(given, flags.FILE)
+    read = _load_reader(given)
+    configuration = _read(given, flags.FILE, read)
     in_force = None
     if given[flags.AGAINST] is not None:
-        in_force = _read(given, flags.AGAINST)
+        in_force = _read(given, flags.AGAINST, read)
     report = configuration_check.check(configuration, in_force)
     if given[flags.OUTPUT] is flags.OutputFormat.JSON:
         print(json.dumps(msgspec.to_builtins(report)))
@@ -34,9 +39,20 @@
     return settings.ExitCode.SUCCESS
 
 
+def _load_reader(given: settings.Settings) -> _Read:
+    name = given[flags.READER]
+    if name is None:
+        return configuration_check.read
+    try:
+        return importlib.import_module(name).read
+    except (ImportError, AttributeError, ValueError) as error:
+        problem = findings.Finding(given.place(flags.READER), str(error))
+        raise findings.FindingsError.of('bad settings', [problem]) from error
+
+
 def _read(
-    given: settings.Settings, flag: settings.Flag
-) -> configuration_check.Configuration:
+    given: settings.Settings, flag: settings.Flag, read: _Read
+) -> object:
     path: pathlib.Path = given[flag]
     try:
         content = path.read_bytes()
@@ -45,7 +61,7 @@
         raise findings.FindingsError.of(
             'bad settings', [findings.Finding(given.place(flag), message)]
         ) from error
-    return configuration_check.read(content, path.name)
+    return read(content, path.name)
 
 
 def _print_report(report: configuration_check.Report) -> None:
--- a/acaciamoor/ctl/flags.py
+++ b/acaciamoor/ctl/flags.py
@@ -133,7 +133,8 @@
 FILE = settings.RequiredFlag(
     'file',
     settings.path,
-    'JSON file with the list of services, as they are stored.',
+    'JSON file with the list of services, as they are stored, or in the '
+    'layout of the reader.',
     positional=True,
 )
 AGAINST = settings.Flag(
@@ -142,6 +143,13 @@
     None,
     'JSON file with the version in force, for a comparison.',
 )
+READER = settings.Flag(
+    'reader',
+    settings.optional(settings.text),
+    None,
+    'Python module that reads the configuration of the forwarders in the '
+    'layout of a platform.',
+)
 
 _OPTIONAL_NUMBER = settings.optional(settings.number())
 POLICY_FLAGS_BY_FIELD = {
@@ -233,6 +241,6 @@
     settings.Command(
         'check',
         'Check a configuration file before it is sent; needs no server.',
-        (FILE, AGAINST),
+        (FILE, AGAINST, READER),
     ),
 )
