Split the store synchronizer

What a host knows of the hosts of its data centre and the dispatch of the messages of relays get modules of their own.

--- a/acaciamoor/forwarder/shell/store_synchronizer.py
+++ b/acaciamoor/forwarder/shell/store_synchronizer.py
@@ -9,15 +9,16 @@
 
 from acaciamoor import clock as clocks
 from acaciamoor import load_reports
-from acaciamoor import model
 from acaciamoor import replica as replicas
 from acaciamoor import supervision
 from acaciamoor.forwarder import store_schema as schemas
 from acaciamoor.forwarder.shell import directory_updater as updaters
 from acaciamoor.forwarder.shell import discovery
+from acaciamoor.forwarder.shell import known_hosts
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import load_exchange
 from acaciamoor.forwarder.shell import relay_links
+from acaciamoor.forwarder.shell import relay_messages
 from acaciamoor.forwarder.shell import relay_server
 from acaciamoor.forwarder.shell import sources
 from acaciamoor.platform import versions
@@ -100,13 +101,16 @@
             )
             for replica in self._replicas_by_kind.values()
         ]
+        self._known_hosts = known_hosts.KnownHosts(
+            self._peers, self._server, self._host_list_reader, updater
+        )
         self._links = relay_links.RelayLinks(
             settings,
             self._replicas_by_kind,
             self._peers,
             self._on_message,
             self._on_lost_link,
-            self._count_hosts_below,
+            lambda: self._known_hosts.count_below(clock.monotonic()),
             clock,
             random_source.randrange(1 << 16),
         )
@@ -124,12 +128,6 @@
             self._server.on_report = self._load_exchange.receive_from_listener
         # Set if another host was asked for data and has none.
         self._seeds_failed = asyncio.Event()
-        # Number of hosts of the data centre, as others of it say.
-        self._local_hosts_by_address: dict[model.Address, int] = {}
-        # Whether a host of the data centre has sent the hosts that it knows.
-        self._heard_locally = False
-        # Revision of the host list that the updater knows.
-        self._known_revision: int | None = None
         self._last_role = replicas.Role.ALONE
         self._last_era: int | None = None
 
@@ -286,55 +284,9 @@
                 source.update_calls(role, self._age_limits, now)
             relays = self._peers.relays(now)
             self._links.update(relays, self._initialized, now)
-            self._update_local_hosts(relays, now)
-            self._update_known_hosts(now)
+            self._known_hosts.update(relays, now)
             await asyncio.sleep(limits.SOURCE_CHECK_INTERVAL.total_seconds())
 
-    def _update_local_hosts(
-        self, relays: tuple[replicas.Peer, ...], now: datetime.timedelta
-    ) -> None:
-        count = self._server.count_local_hosts()
-        if not self._peers.leads_data_centre(now):
-            heard = (
-                self._local_hosts_by_address.get(peer.address, 0)
-                for peer in relays
-            )
-            count = max(count, *heard, 0)
-        self._server.local_hosts = count
-        self._updater.set_local_hosts(count)
-
-    def _update_known_hosts(self, now: datetime.timedelta) -> None:
-        revision = self._peers.revision
-        if revision != self._known_revision and self._knows_hosts(now):
-            self._known_revision = revision
-            self._updater.set_known_hosts(self._peers.hosts_by_data_centre)
-
-    def _knows_hosts(self, now: datetime.timedelta) -> bool:
-        """Return whether all hosts of the data centre are known.
-
-        Only some hosts register in the store. The others are known to each
-        host of the data centre, and to the first one, which all listen to.
-        """
-        peers, reader = self._peers, self._host_list_reader
-        if self._heard_locally:
-            return True
-        if len(peers) == 1:
-            return reader.has_searched
-        if peers.all_registered:
-            return reader.has_read
-        return (
-            peers.leads_data_centre(now)
-            and self._server.count_local_listeners() > 0
-            and self._server.count_local_hosts() <= peers.local_count
-        )
-
-    def _count_hosts_below(self) -> int:
-        # Elsewhere, the listeners of this host are known otherwise, or listen
-        # to it only while they start.
-        if self._peers.is_branch(self._clock.monotonic()):
-            return self._server.count_local_listeners()
-        return 0
-
     def _determine_role(self, now: datetime.timedelta) -> replicas.Role:
         role = self._peers.role(now)
         if role is replicas.Role.LISTENER and self._server.listeners:
@@ -352,7 +304,7 @@
         )
 
     def _on_lost_link(self, peer: replicas.Peer) -> None:
-        self._local_hosts_by_address.pop(peer.address, None)
+        self._known_hosts.forget(peer.address)
         self._stop_waiting_for_seeds()
 
     def _on_message(
@@ -372,7 +324,7 @@
                 )
             return
         self._peers.mark_reachable(peer.host_id)
-        _handle_message(message, self, peer, sent_at)
+        relay_messages.dispatch(message, self, peer, sent_at)
 
     def apply_update(
         self,
@@ -398,9 +350,7 @@
     ) -> None:
         """Update the ages of the replicas from a heartbeat of a relay."""
         if beat.data_centre == self._settings.own.data_centre:
-            self._local_hosts_by_address[peer.address] = beat.hosts
-            # Each connection begins with the hosts that the other one knows.
-            self._heard_locally = True
+            self._known_hosts.record_count(peer.address, beat.hosts)
         if not beat.progress_by_kind:
             self._stop_waiting_for_seeds()
         confirmed = False
@@ -424,47 +374,3 @@
         # waiting saves two calls a host. After a power cut callers wait.
         if not self._settings.first_start:
             self._seeds_failed.set()
-
-
-@functools.singledispatch
-def _handle_message(
-    message: replicas.Message,
-    synchronizer: StoreSynchronizer,
-    peer: replicas.Peer,
-    sent_at: datetime.timedelta,
-) -> None:
-    _LOG.warning(
-        'relay %s sent an unexpected %s message',
-        peer.host_id,
-        type(message).__name__,
-    )
-
-
-@_handle_message.register
-def _apply_update(
-    message: replicas.Update,
-    synchronizer: StoreSynchronizer,
-    peer: replicas.Peer,
-    sent_at: datetime.timedelta,
-) -> None:
-    synchronizer.apply_update(message, peer, sent_at)
-
-
-@_handle_message.register
-def _apply_heartbeat(
-    message: replicas.Beat,
-    synchronizer: StoreSynchronizer,
-    peer: replicas.Peer,
-    sent_at: datetime.timedelta,
-) -> None:
-    synchronizer.apply_heartbeat(message, peer, sent_at)
-
-
-@_handle_message.register
-def _add_peers(
-    message: replicas.Peers,
-    synchronizer: StoreSynchronizer,
-    peer: replicas.Peer,
-    sent_at: datetime.timedelta,
-) -> None:
-    synchronizer.add_peers(message)
