Ask again in all collections when one shows a restored store

Cause: the call for the configuration may be in its backoff while the store is restored. No call is cut off then, and the next one waits for 2.4 s after a revision that the store has given out again. Seen in a play of the process test with the logs of the hosts: the other two collections showed the new era 0.23 s after the restoration, the configuration came after 2.8 s.

Ruled out: one call for all collections, which the platform does not offer.

Change: when a replica reaches a later era, calls that wait for changes of replicas of earlier eras are cancelled and sent again without a wait, by the periodic check of the sources (0.2 s). Calls change only when the era does.

The test fails without the change (it waits for 10 s).

--- a/acaciamoor/forwarder/shell/sources.py
+++ b/acaciamoor/forwarder/shell/sources.py
@@ -15,6 +15,7 @@
 from acaciamoor import replica as replicas
 from acaciamoor import supervision
 from acaciamoor.forwarder.shell import limits
+from acaciamoor.platform import versions
 from acaciamoor.platform import watching
 from acaciamoor.telemetry import exposition
 
@@ -255,6 +256,26 @@
             self._task = None
         self._call_mode = replicas.CallMode.NONE
 
+    def check_era(self, era: int) -> None:
+        """Ask again, without a wait, if the replica is of an earlier era.
+
+        A call that was sent after the store was restored waits for changes
+        after a version of the earlier era, and no failure shows it.
+
+        Parameters
+        ----------
+        era : int
+            Era of the store, as another replica shows.
+        """
+        waits = self._call_mode in (
+            replicas.CallMode.WATCH,
+            replicas.CallMode.WATCH_OFTEN,
+        )
+        if waits and versions.get_era(self._replica.version) < era:
+            # The periodic check starts the calls again.
+            self.cancel()
+            self.was_cut_off = True
+
     @property
     def _ended(self) -> bool:
         return self._task is None or self._task.done()
--- a/acaciamoor/forwarder/shell/store_synchronizer.py
+++ b/acaciamoor/forwarder/shell/store_synchronizer.py
@@ -260,6 +260,8 @@
                 source,
             )
             self._host_list_reader.register_again(era)
+            for source in self._sources:
+                source.check_era(era)
         self._last_era = max(era, self._last_era or 0)
 
     @property
--- a/acaciamoor/forwarder/tests/test_store_synchronizer.py
+++ b/acaciamoor/forwarder/tests/test_store_synchronizer.py
@@ -16,6 +16,7 @@
 from acaciamoor.forwarder.shell import limits
 from acaciamoor.forwarder.shell import sources
 from acaciamoor.forwarder.shell import store_synchronizer
+from acaciamoor.platform import versions
 
 SECOND = datetime.timedelta(seconds=1)
 ROUTES = 'routes'
@@ -111,7 +112,7 @@
         asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
         cls.addClassCleanup(asyncio.set_event_loop_policy, previous)
 
-    def start(self, store, seeds=()):
+    def start(self, store, seeds=(), refresh=None):
         """Start a host; return its recording updater and its address."""
         address = site.find_free_address()
         own = replica.Peer(model.HostId(str(address)), 'kgn-a', address)
@@ -119,7 +120,7 @@
         synchronizer = store_synchronizer.StoreSynchronizer(
             limits.SyncSettings(own, tuple(seeds), 3 * SECOND, 4 * SECOND),
             StoreSchema(),
-            sources.StoreTransports(store, store, store),
+            sources.StoreTransports(store, store, refresh or store),
             updater,
             clock.SystemClock(),
             random.Random(1),
@@ -172,6 +173,46 @@
         await asyncio.wait_for(updater.wait_for('upstreams-first'), 10)
         self.assertNotIn('left', updater.names_by_source['store'])
 
+    async def test_restoration_seen_in_one_collection_is_known_in_all(self):
+        """Guards against a waiting call that only one collection avoids.
+
+        The store is restored between two calls for the routes. The next one
+        waits after a revision that the store has given out again.
+        """
+
+        class RestoredStore(Store):
+            era = 0
+
+            async def read_all(self, kind, selector=None, stale=False):
+                version = versions.make_version(self.era, 5)
+                name = f'{kind}-era-{self.era}'
+                return platform.Listing(
+                    version, (put(kind, name, version).stored,)
+                )
+
+            async def stream(self, kind, after_version):
+                if kind == ROUTES:
+                    await asyncio.sleep(3600)
+                while versions.get_era(after_version) == self.era:
+                    await asyncio.sleep(0.01)
+                raise platform.VersionExpired('restored')
+                yield None
+
+        class Refresh(RestoredStore):
+            async def stream(self, kind, after_version):
+                raise platform.VersionExpired('restored')
+                yield None
+
+        store, refresh = RestoredStore(), Refresh()
+        refresh.era = 1
+        with mock.patch.object(replica.PeerList, 'search_period', 0 * SECOND):
+            updater, _ = self.start(store, refresh=refresh)
+            await asyncio.wait_for(updater.wait_for('routes-era-0'), 10)
+            # Until the calls that wait have begun.
+            await asyncio.sleep(0.5)
+            store.era = 1
+            await asyncio.wait_for(updater.wait_for('routes-era-1'), 10)
+
     async def test_host_retries_if_its_seeds_are_down(self):
         """Guards against a task that ends after a refused connection."""
         store = Store()
