--- a/acaciamoor/load_reports/collector.py
+++ b/acaciamoor/load_reports/collector.py
@@ -38,19 +38,31 @@
 
     def to_load(self, upstream_id: str) -> reports.UpstreamLoad | None:
         """Return what a report says of the upstream; None if it is idle."""
-        numbers = (
+        seconds = self.busy_seconds and reports.round_seconds(
+            self.busy_seconds
+        )
+        if not (
+            self.in_progress
+            or self.open_flows
+            or self.started
+            or self.finished
+            or seconds
+            or self.rejected
+            or self.openings
+            or self.unanswered
+        ):
+            return None
+        return reports.UpstreamLoad(
+            upstream_id,
             self.in_progress,
             self.open_flows,
             self.started,
             self.finished,
-            reports.round_seconds(self.busy_seconds),
+            seconds,
             self.rejected,
             self.openings,
             self.unanswered,
         )
-        if not any(numbers):
-            return None
-        return reports.UpstreamLoad(upstream_id, *numbers)
 
 
 class LoadCollector:
