Send large sums to other data centres at every second interval

The computation of bytes gave the sums of all data centres the same loads, which take no room after the first one. With different loads, and without other changes, a listener in three data centres of 25 hosts and 100 upstreams takes 9.6 instead of 7.5 KB/s without heartbeats, above its 8.2 KB/s; its first host takes 239 instead of 188 KB/s.

Data centres of up to 25 hosts have no limit on the upstreams in a sum. Where the sums of the others hold more than 400 upstreams a second (60 in each of three data centres, 40 in each of four), they now go to other data centres at every second interval, as with more than four data centres. Smaller sums are sent as before.

--- a/acaciamoor/forwarder/shell/load_exchange.py
+++ b/acaciamoor/forwarder/shell/load_exchange.py
@@ -336,15 +336,17 @@
         """Return the own sum for other data centres, if it is due."""
         if own is None:
             return []
-        early = self._pace.interval * _EARLY_SHARE
+        pace = self._pace
+        early = pace.interval * _EARLY_SHARE
+        summary = load_reports.limit_summary(own, pace.foreign_upstreams)
+        interval = pace.foreign_interval_for(len(summary.upstreams))
         if (
             self._sent_abroad_at is not None
-            and now - self._sent_abroad_at
-            < self._pace.foreign_interval - early
+            and now - self._sent_abroad_at < interval - early
         ):
             return []
         self._sent_abroad_at = now
-        return [load_reports.limit_summary(own, self._pace.foreign_upstreams)]
+        return [summary]
 
     def _count(self, kind: str, outcome: str, count: int) -> None:
         if count:
--- a/acaciamoor/forwarder/tests/test_load_reports.py
+++ b/acaciamoor/forwarder/tests/test_load_reports.py
@@ -325,6 +325,20 @@
         self.assertEqual({'kgn-a', 'kgn-b'}, self.names('kgn-a'))
         self.assertEqual({'kgn-a'}, self.names('kgn-b'))
 
+    def test_large_sums_go_abroad_at_every_second_interval(self):
+        """Guards against the bytes of upstreams that many hosts use."""
+        for upstreams, expected in ((80, 6), (81, 3)):
+            for number in range(upstreams):
+                self.collector.add_flow(f'desk-{number}')
+            sent = 0
+            for serial in range(6):
+                self.server.summaries_by_data_centre.clear()
+                self.receive(data_centre='kgn-b', serial=upstreams + serial)
+                self.clock.advance(SECOND / 5)
+                self.exchange.exchange()
+                sent += 'kgn-b' in self.server.summaries_by_data_centre
+            self.assertEqual(expected, sent)
+
     def test_time_on_the_way_counts_as_age(self):
         """Guards against old sums that look new after a slow path."""
         self.clock.advance(SECOND / 4)
--- a/acaciamoor/load/report_traffic.py
+++ b/acaciamoor/load/report_traffic.py
@@ -26,15 +26,18 @@
 
 
 def make_loads(
-    upstreams: int, requests: int, random_source: random.Random
+    upstreams: int, requests: int, random_source: random.Random, first: int = 0
 ) -> list[load_reports.UpstreamLoad]:
-    """Return loads of the upstreams that the requests of an interval use."""
+    """Return loads of the upstreams that the requests of an interval use.
+
+    `first` is the number of the first upstream.
+    """
     started = [0] * upstreams
     for _ in range(requests):
         started[random_source.randrange(upstreams)] += 1
     return [
         load_reports.UpstreamLoad(
-            f'order-desk-{number:04}',
+            f'order-desk-{first + number:05}',
             max(1, count // 4),
             count,
             count,
@@ -137,11 +140,12 @@
             summary, self.pace.foreign_upstreams
         )
         self.foreign = encode(replica.Summary, [foreign])
+        self.foreign_interval = self.pace.foreign_interval_for(
+            len(foreign.upstreams)
+        )
         # Sums that arrive at the relay in an interval go on as one message.
         waiting = round(
-            (data_centres - 1)
-            * self.pace.interval
-            / self.pace.foreign_interval
+            (data_centres - 1) * self.pace.interval / self.foreign_interval
         )
         self.batch = 0
         if waiting:
@@ -154,6 +158,19 @@
                         sender=f'entry-kgn-{number}-0017',
                         incarnation=source.getrandbits(32),
                         serial=5000 + number,
+                        # Equal loads would take no bytes after the first.
+                        upstreams=load_reports.limit_summary(
+                            msgspec.structs.replace(
+                                summary,
+                                upstreams=make_loads(
+                                    upstreams,
+                                    int(OPENINGS_PER_S * seconds * hosts),
+                                    source,
+                                    (number + 1) * upstreams,
+                                ),
+                            ),
+                            self.pace.foreign_upstreams,
+                        ).upstreams,
                         demands=[
                             load_reports.ServiceDemand(
                                 demand.service,
@@ -175,7 +192,7 @@
         receiver.
         """
         own = 1 / self.pace.interval.total_seconds()
-        abroad = 1 / self.pace.foreign_interval.total_seconds()
+        abroad = 1 / self.foreign_interval.total_seconds()
         others = self.data_centres - 1
         # Hosts that report to the first one.
         below = self.branches + 1 if self.branches else self.hosts - 1
@@ -218,7 +235,7 @@
             f'{site[0] * site[2]} hosts: {site[2]} x {site[0]} hosts, '
             f'{site[1]} upstreams each; interval '
             f'{pace.interval.total_seconds():.3f} s, foreign '
-            f'{pace.foreign_interval.total_seconds():.3f} s; upstreams in '
+            f'{sizes.foreign_interval.total_seconds():.3f} s; upstreams in '
             f'a report {pace.report_upstreams}, summary '
             f'{pace.summary_upstreams}, foreign {pace.foreign_upstreams}; '
             f'bytes: report {sizes.report}, idle {sizes.idle}, branch '
--- a/acaciamoor/load/tests/test_report_traffic.py
+++ b/acaciamoor/load/tests/test_report_traffic.py
@@ -14,6 +14,9 @@
 SITES = (
     *report_traffic.SITES,
     (25, 100, 2),
+    (19, 75, 4),
+    (25, 60, 4),
+    (9, 60, 3),
     (32, 100, 2),
     (32, 100, 3),
     (16, 64, 2),
@@ -41,6 +44,11 @@
                     listener[1], BUDGET_BYTES_PER_S - HEARTBEAT_BYTES_PER_S
                 )
 
+    def test_sums_of_data_centres_differ(self):
+        """Guards against bytes of equal loads, which take no room twice."""
+        sizes = report_traffic.Sizes(25, 40, 3)
+        self.assertGreater(sizes.batch, 1.5 * sizes.foreign)
+
     def test_sizes_that_limit_messages_are_not_too_small(self):
         """Guards against limits in upstreams that allow too many bytes."""
         sizes = report_traffic.Sizes(367, 2333, 30)
--- a/acaciamoor/load_reports/pace.py
+++ b/acaciamoor/load_reports/pace.py
@@ -41,6 +41,10 @@
 # interval: traffic between them grows with the square of their number. At the
 # longest interval this leaves 0.9 s of the 1.5 s for the way.
 _MAX_DATA_CENTRES_AT_FULL_PACE = 4
+# Upstreams a second in the sums of other data centres, above which these too
+# go at every second interval. Without this, a listener in three data centres
+# of 25 hosts and 100 upstreams took 9.6 KB/s without heartbeats.
+_FOREIGN_UPSTREAMS_PER_S = 400
 
 
 class Pace(msgspec.Struct, frozen=True):
@@ -51,13 +55,16 @@
     interval : datetime.timedelta
         Interval between reports, and between summaries.
     foreign_interval : datetime.timedelta
-        Interval between summaries for other data centres.
+        Interval between summaries for other data centres; see also
+        `foreign_interval_for`.
     report_upstreams : int
         Upstreams in a report, for each of its hosts.
     summary_upstreams : int
         Upstreams in the summary for the own data centre.
     foreign_upstreams : int
         Upstreams in the summary for other data centres.
+    full_pace_upstreams : int
+        Upstreams in that summary above which it is sent less often.
 
     Examples
     --------
@@ -74,6 +81,7 @@
     report_upstreams: int = reports.MAX_UPSTREAMS
     summary_upstreams: int = reports.MAX_UPSTREAMS
     foreign_upstreams: int = reports.MAX_UPSTREAMS
+    full_pace_upstreams: int = reports.MAX_UPSTREAMS
 
     @classmethod
     def of(cls, hosts: int, data_centres: int) -> 'Pace':
@@ -93,7 +101,16 @@
         if data_centres > _MAX_DATA_CENTRES_AT_FULL_PACE:
             foreign_interval = 2 * interval
         if hosts <= MAX_UNLIMITED_HOSTS:
-            return cls(interval, foreign_interval)
+            full_pace_upstreams = (
+                _FOREIGN_UPSTREAMS_PER_S
+                * interval.total_seconds()
+                / max(1, data_centres - 1)
+            )
+            return cls(
+                interval,
+                foreign_interval,
+                full_pace_upstreams=int(full_pace_upstreams),
+            )
         foreign_bytes_per_s = FOREIGN_BYTES_PER_S / max(1, data_centres - 1)
         return cls(
             interval,
@@ -103,6 +120,18 @@
             _count_upstreams(foreign_bytes_per_s, foreign_interval),
         )
 
+    def foreign_interval_for(self, upstreams: int) -> datetime.timedelta:
+        """Return the interval of summaries for other data centres.
+
+        Parameters
+        ----------
+        upstreams : int
+            Upstreams in a summary.
+        """
+        if upstreams > self.full_pace_upstreams:
+            return max(2 * self.interval, self.foreign_interval)
+        return self.foreign_interval
+
 
 def _count_upstreams(bytes_per_s: float, interval: datetime.timedelta) -> int:
     size = bytes_per_s * interval.total_seconds()
