Leave out summaries without an interval

The admission checks the interval of the picture first and divides by it later. A sum of no reports that arrived in between made it divide by zero (seen with a script of two services). Such a sum shows no rates, so the picture does not record it.

--- a/acaciamoor/load_reports/picture.py
+++ b/acaciamoor/load_reports/picture.py
@@ -158,7 +158,8 @@
         """Record a summary; return whether it replaced the one before.
 
         Summaries of a process replace those of lower serials. The sum of
-        another host replaces one that is old or that covers fewer hosts.
+        another host replaces one that is old or that covers fewer hosts. One
+        without an interval is the sum of no reports, and shows no rates.
 
         Parameters
         ----------
@@ -167,7 +168,10 @@
         received_at : datetime.timedelta
             Time to which the age in the summary refers.
         """
-        if datetime.timedelta(seconds=summary.age) >= MAX_AGE:
+        if (
+            datetime.timedelta(seconds=summary.age) >= MAX_AGE
+            or datetime.timedelta(seconds=summary.interval) <= _ZERO
+        ):
             return False
         held = self._held_by_data_centre.get(summary.data_centre)
         retired: tuple[int, ...] = ()
@@ -302,8 +306,8 @@
     summaries : iterable of LoadSummary
         Summaries of different data centres.
     interval : float
-        Interval to which counts are scaled, in seconds. If it is 0, that of
-        the first summary that has one.
+        Interval to which counts are scaled, in seconds; if it is 0, that of
+        the first summary.
     """
     # Lists are summed, as in the aggregator: a struct for each addition takes
     # several times as long.
@@ -312,12 +316,7 @@
         interval = interval or summary.interval
         scale: float = 1
         if summary.interval != interval:
-            # Counts over no time are no rate.
-            scale = (
-                min(interval / summary.interval, _MAX_SCALE)
-                if summary.interval
-                else 0
-            )
+            scale = min(interval / summary.interval, _MAX_SCALE)
         for load in summary.upstreams:
             sums = sums_by_id.get(load.upstream_id)
             if sums is None:
