Serve from the own views only with the members of the quorum

Cause, traced in the play of seed 4 of the long fuzz runs: a balancer that is killed and started again has a quorum by the round trips that its first peer reports, and is fresh, while its member list holds this peer only. The peer looks for the record of a stream there. Both have asked all owners that they know, so the started host resolves the stream by its base view and records that, though two other hosts hold its record. The stream moves from one upstream to another.

Ruled out: the cut link of the play, which is repaired at the time, and the views, which are the same on all hosts.

Change: a host that starts, or resumes after a pause, is not fresh before its member list holds all hosts that its quorum counts, for 10 s at most. It passes packets to the owners until then, as without the views of its peers.

Measured: the play of seed 4 passes, and is an example of the fuzz test.

--- a/acaciamoor/balancer/tests/test_fuzz_core.py
+++ b/acaciamoor/balancer/tests/test_fuzz_core.py
@@ -32,6 +32,41 @@
     strategies.tuples(strategies.just('wait'), strategies.integers(1, 12)),
 )
 _FINAL_STEPS = 24
+# A long run found this example: a balancer that was killed and restarted knew
+# one other member, and the two of them resolved a stream whose record the
+# remaining ones held.
+_MOVED_BY_A_RESTARTED_HOST = [
+    ('repair',),
+    ('open_stream', 0),
+    ('cut',),
+    ('wait', 10),
+    ('drain', 0),
+    ('open_stream', 0),
+    ('open_stream', 0),
+    ('wait', 2),
+    ('wait', 6),
+    ('cut',),
+    ('drain', 1),
+    ('drain', 0),
+    ('wait', 7),
+    ('drain', 0),
+    ('open_stream', 0),
+    ('drain', 1),
+    ('wait', 10),
+    ('wait', 6),
+    ('send_request', 0, False),
+    ('cut',),
+    ('kill',),
+    ('open_stream', 0),
+    ('drain', 1),
+    ('wait', 9),
+    ('open_stream', 0),
+    ('send_request', 0, True),
+    ('wait', 3),
+    ('open_stream', 1),
+    ('open_stream', 0),
+    ('send_request', 1, True),
+]
 
 
 def play(seed, actions):
@@ -53,6 +88,7 @@
 
 class FuzzCoreTest(unittest.TestCase):
     @_SETTINGS
+    @hypothesis.example(4, _MOVED_BY_A_RESTARTED_HOST)
     @hypothesis.given(
         strategies.integers(0, 1000),
         strategies.lists(_ACTIONS, min_size=12, max_size=40),
--- a/acaciamoor/membership/table.py
+++ b/acaciamoor/membership/table.py
@@ -23,6 +23,10 @@
 # placer (2 s), so that the lease of a partitioned host expires before its
 # successor acts.
 LEASE_DURATION = datetime.timedelta(seconds=1.5)
+# Time with a quorum after which a host that starts is fresh although members
+# are missing in its list. If 367 hosts start at once, they know nearly all
+# others after 8 s.
+MAX_DISCOVERY = datetime.timedelta(seconds=10)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +86,10 @@
             store,
         )
         self._ticked_at: datetime.timedelta | None = None
+        # Whether this host has known all hosts that its quorum counts, and
+        # since when it has looked for them.
+        self._has_discovered = False
+        self._discovers_since: datetime.timedelta | None = None
 
     def on_host_list(self, hosts: HostList) -> None:
         """Set the host list, which determines probe targets and quorums.
@@ -110,6 +118,7 @@
             # The views of both sides of a partition have to merge before any
             # host leads again.
             self._local_member.lease_withheld_since = now
+        self._discover(now, quorum)
         for target in self._protocol.take_failed_targets():
             self._detector.on_failed_probe(target, quorum, now)
         is_urgent = self._detector.tick(quorum, now)
@@ -129,7 +138,9 @@
         self._detect_pause()
         now = self._clock.monotonic()
         return self._view_builder.view(
-            now, self._has_quorum(now), self._store.fresh
+            now,
+            self._has_quorum(now),
+            self._store.fresh and self._has_discovered,
         )
 
     def leave(self) -> list[configuration.Send]:
@@ -188,6 +199,27 @@
             self._local_member.host_id, now - LEASE_DURATION
         )
 
+    def _discover(self, now: datetime.timedelta, quorum: bool) -> None:
+        """Update whether the members are known.
+
+        A quorum counts the round trips that other hosts report, so a host
+        that starts may have one while it knows a single member. Of the owners
+        of a flow it then knows none, and its own views do not say where the
+        flow is.
+        """
+        if self._has_discovered or not quorum:
+            return
+        if self._discovers_since is None:
+            self._discovers_since = now
+        unknown = (
+            self._round_trips.seen_since(now - LEASE_DURATION)
+            - self._members.members_by_id.keys()
+            - {self._local_member.host_id}
+        )
+        self._has_discovered = (
+            not unknown or now - self._discovers_since >= MAX_DISCOVERY
+        )
+
     def _detect_pause(self) -> None:
         now = self._clock.monotonic()
         if self._ticked_at is None or now - self._ticked_at <= LEASE_DURATION:
@@ -196,3 +228,6 @@
         self._local_member.on_pause(now)
         self._protocol.forget_round_trips()
         self._store.on_pause()
+        # Hosts may have joined meanwhile.
+        self._has_discovered = False
+        self._discovers_since = None
--- a/acaciamoor/membership/tests/test_detection.py
+++ b/acaciamoor/membership/tests/test_detection.py
@@ -113,6 +113,29 @@
         fleet.run(6)
         self.assertEqual({fleet.host_ids}, builders.distinct_live_sets(fleet))
 
+    def test_host_is_fresh_only_with_the_members_of_its_quorum(self):
+        """Guards against a restarted host that knows one member and serves.
+
+        A quorum counts hosts of which others report, and the owners of
+        flows are among all of them.
+        """
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                fleet = builders.fleet(count=4, seed=seed)
+                restarted = fleet.host_ids[2]
+                fleet.kill(restarted)
+                node = fleet.start(restarted)
+                live_sets = set()
+
+                def record(observed, node=node, found=live_sets):
+                    view = node.table.view()
+                    if observed is node and view.fresh and view.quorum:
+                        found.add(view.live)
+
+                fleet.observers.append(record)
+                fleet.run(4)
+                self.assertEqual({fleet.host_ids}, live_sets)
+
     def test_half_with_the_lowest_host_identifier_has_the_quorum(self):
         """Guards against an even split with no quorum or two quorums."""
         fleet = builders.fleet()
