Copy a record to an owner that was asked and has none

Change: if a packet queried an owner that had no record, the host with the record sends the packet through both owners, which store it. It costs one hop, once for each stream.

--- a/acaciamoor/flows/chain.py
+++ b/acaciamoor/flows/chain.py
@@ -79,7 +79,7 @@
         if kind is envelopes.EnvelopeKind.OPEN:
             return self._route_open(flows, flow, index)
         if index is not None:
-            return self._route_by_record(flows, flow, kind, index)
+            return self._route_by_record(flows, flow, kind, index, hop)
         if self.refusal is None:
             agreed = flows.agreed_defaults[buckets.bucket_of(flow)]
             if agreed >= 0:
@@ -180,19 +180,23 @@
         flow: int,
         kind: envelopes.EnvelopeKind,
         index: int,
+        hop: messages.Hop | None,
     ) -> messages.Decision:
         """Route by the record that this host holds.
 
-        Periodically, and after a change of the members, a packet is forwarded
-        through both owners. This refreshes their records and copies them to
-        new owners without control traffic. A host that is not fresh has an
+        Periodically, after a change of the members, and if an owner that was
+        queried before has no record, a packet is forwarded through both
+        owners. This refreshes their records and copies them to new owners
+        without control traffic. A host that is not fresh has an
         owner confirm that the upstream still belongs to the service.
         """
         if flows.is_lost(index):
             self._refresh_record(flows, flow, index)
             return flows.decisions[index]
-        if kind is envelopes.EnvelopeKind.CLOSE or self._is_refresh_due(
-            flows, flow
+        if (
+            kind is envelopes.EnvelopeKind.CLOSE
+            or self._is_refresh_due(flows, flow)
+            or self._is_missing_at_an_owner(flow, hop)
         ):
             self._refresh_record(flows, flow, index, kind)
             return self._forward_through_owners(flows, flow, index)
@@ -328,6 +332,18 @@
             return True
         return self.now - refreshed >= settings.REFRESH_INTERVAL_SECONDS
 
+    def _is_missing_at_an_owner(
+        self, flow: int, hop: messages.Hop | None
+    ) -> bool:
+        """Return whether an owner was queried, which had no record then.
+
+        An owner that restarts before others notice loses its records without
+        a change of the members.
+        """
+        return hop is not None and not set(hop.visited).isdisjoint(
+            self.owners.owners(flow)
+        )
+
     def _in_handover_window(self) -> bool:
         return (
             self._members_changed_at is not None
--- a/acaciamoor/flows/tests/test_router.py
+++ b/acaciamoor/flows/tests/test_router.py
@@ -119,6 +119,24 @@
             # A single packet copies the record to the new owner.
             self.assert_routed_by_all(upstream)
 
+    def test_owners_that_restart_in_turn_lose_no_record(self):
+        """Guards against a record that one owner keeps alone for seconds.
+
+        The others notice neither restart, so the members do not change.
+        """
+        # Records of the time of a change are copied anyway.
+        self.cluster.run_for(1)
+        upstream = self.open_remapped_flow()
+        for name in self.owners:
+            self.cluster.add_host(name)
+            self.cluster.set_members('abcd', by=name)
+            self.cluster.apply_view(FIRST, by=name)
+            self.cluster.apply_view(ADDED, builders.seconds(3), by=name)
+            sender = self.non_owners[0]
+            self.assertEqual(
+                upstream, self.cluster.route(sender, self.flow)[0]
+            )
+
     def test_two_joining_owners_do_not_hide_the_record(self):
         """Guards against a chain in which no host has the record."""
         upstream = self.open_remapped_flow()
