--- a/acaciamoor/configuration_check/tests/builders.py
+++ b/acaciamoor/configuration_check/tests/builders.py
@@ -59,3 +59,13 @@
 ) -> configuration_check.RouteConfiguration:
     """Return a configuration of the forwarders."""
     return configuration_check.RouteConfiguration(version, items, services)
+
+
+def list_findings(report) -> dict[str, list[str]]:
+    """Return the places of findings by section, without empty sections."""
+    sections = ('errors', 'never_matched', 'contradictions')
+    return {
+        section: [item.place for item in getattr(report, section)]
+        for section in sections
+        if getattr(report, section)
+    }
