Bound the state of services and the count of waiting openings

The state by service was kept for every name that a route ever had, and each opening that waits for the pace of warm-up scanned all pending ones. Refusals for max_flows, warm_up or evacuated were reported as refused demand, which the admission takes for a sign of overload and for the excess of single callers; they are left out of the reports now. Another field in the message was ruled out: nothing else reads these refusals.

--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -67,7 +67,7 @@
         self._pending = openings.PendingOpenings()
         self._held = held_packets.HeldPackets()
         self.load_tracker = openings.LoadTracker()
-        demand_tracker = openings.DemandTracker()
+        self._demand_tracker = demand_tracker = openings.DemandTracker()
         self.failure_detector = openings.FailureDetector()
         self.load_collector = load_collector or load_reports.LoadCollector(
             '', settings.data_centre, 0
@@ -84,6 +84,8 @@
         # Services for which openings wait for the pace of warm-up, and when
         # the pace kept the last new one back.
         self._waited_at_by_service: dict[str, datetime.timedelta] = {}
+        # Table whose services are the only ones in the state by service.
+        self._pruned_table: directories.RouteTable | None = None
         self.pacer = pacing.WarmUpPacer(settings.pacing, settings.host_id)
         self.placer = openings.OpeningPlacer(
             settings.data_centre,
@@ -206,6 +208,27 @@
             self.failure_detector.forget(upstream_id)
             self.placer.forget(upstream_id)
             self.pacer.forget(upstream_id)
+        self._forget_services()
+
+    def _forget_services(self) -> None:
+        """Remove what is kept about services that no route names any more."""
+        table = self._directory.table
+        if table is self._pruned_table:
+            return
+        self._pruned_table = table
+        services = {
+            service
+            for route in table.routes_by_address.values()
+            for service in route.weights_by_service
+        }
+        for state_by_service in (
+            self._empty_since_by_service,
+            self._waited_at_by_service,
+        ):
+            for service in state_by_service.keys() - services:
+                del state_by_service[service]
+        self._demand_tracker.retain(services)
+        self.load_collector.retain_services(services)
 
     def _handle_opening(
         self,
@@ -333,9 +356,7 @@
         if now - waited_at > self._settings.opening_lifetime:
             del self._waited_at_by_service[service]
             return 0
-        return sum(
-            opening.service == service for opening in self._pending.unplaced()
-        )
+        return self._pending.count_unplaced(service)
 
     def _get_limits(self, service: str) -> directories.ServiceLimits | None:
         return self._directory.table.limits_by_service.get(service)
@@ -465,11 +486,8 @@
         """Refuse a flow that no upstream can have seen; else drop a copy."""
         self._pending.pop(opening.key)
         if _is_refusable(opening, now):
-            route = self._directory.find_route(opening.address)
-            if route is not None:
-                self.load_collector.add_demand(
-                    opening.service, route.priority, refused=True
-                )
+            # It is no part of the demand in the reports: the admission would
+            # take it for a sign of overload.
             return effects.Refusal(opening.key, reason)
         return otherwise
 
--- a/acaciamoor/forwarder/tests/test_overload.py
+++ b/acaciamoor/forwarder/tests/test_overload.py
@@ -5,6 +5,7 @@
 
 from acaciamoor import admission
 from acaciamoor import clock
+from acaciamoor import directory
 from acaciamoor import forwarder
 from acaciamoor.directory.tests import builders as directory_builders
 from acaciamoor.forwarder import effects
@@ -49,9 +50,11 @@
         self.core = builders.core(self.directory)
         self.core.admission = self.admission = Admission()
 
-    def open_flow(self, at, copies=0, backlog=0 * MS):
+    def open_flow(self, at, copies=0, backlog=0 * MS, caller=builders.CALLER):
         """Return the decision about an opening packet."""
-        packet = builders.packet(opens=True, acknowledged=copies)
+        packet = builders.packet(
+            opens=True, acknowledged=copies, caller=caller
+        )
         return self.core.handle(b'syn', packet, at, backlog)
 
     def test_first_copy_is_refused_and_reported(self):
@@ -96,6 +99,48 @@
         (observation,) = self.core.take_observations()
         self.assertIsInstance(observation, effects.ImportantFlowWaits)
 
+    def test_refusals_for_other_causes_are_no_demand(self):
+        """Guards against refusals that the admission takes for overload.
+
+        Upstreams that hold as many flows as they may are not overloaded.
+        """
+        self.core.admission = None
+        for upstream_id in ('desk-1', 'desk-2'):
+            self.core.load_tracker.begin_flow(upstream_id)
+        table = self.directory.table
+        self.directory.adopt_routes(
+            directory.RouteTable(
+                table.version + 1,
+                table.routes_by_address,
+                {SERVICE: directory.ServiceLimits(1)},
+            )
+        )
+        refused = self.open_flow(1 * MS)
+        self.assertEqual(forwarder.RefusalReason.MAX_FLOWS, refused.reason)
+        self.assertEqual(
+            [], self.core.load_collector.take_report(2 * MS).demands
+        )
+
+    def test_state_of_services_without_routes_is_removed(self):
+        """Guards against memory that grows with the names of services."""
+        for upstream_id in ('desk-1', 'desk-2'):
+            self.directory.remove_upstream(upstream_id, 0 * MS)
+        late = 1000 * 1000 * MS
+        self.directory.expire(late)
+        self.assertIsInstance(self.open_flow(late), forwarder.Wait)
+        # Refused at once while it is known for how long it was empty.
+        late += 9000 * MS
+        refused = self.open_flow(late, caller=(8, 1))
+        self.assertIsInstance(refused, forwarder.Refusal)
+        table = self.directory.table
+        for version, routes in ((2, {}), (3, table.routes_by_address)):
+            self.directory.adopt_routes(
+                directory.RouteTable(table.version + version, routes)
+            )
+            self.core.expire(late)
+        decision = self.open_flow(late, caller=(8, 2))
+        self.assertIsInstance(decision, forwarder.Wait)
+
     def test_operators_see_what_a_refusal_rests_on(self):
         """Guards against refusals that nobody can explain."""
         observer = observers.Observer(
--- a/acaciamoor/load_reports/collector.py
+++ b/acaciamoor/load_reports/collector.py
@@ -1,5 +1,6 @@
 """Counts of the load that passes this host."""
 
+import collections.abc
 import datetime
 import heapq
 
@@ -156,6 +157,11 @@
         demand[0] += 1
         demand[1] += refused
 
+    def retain_services(self, services: collections.abc.Set[str]) -> None:
+        """Remove what was learned of the responses of all other services."""
+        for service in self._usual_by_service.keys() - services:
+            del self._usual_by_service[service]
+
     def take_report(self, now: datetime.timedelta) -> reports.HostReport:
         """Return the report since the last one, and start the next one."""
         interval = _ZERO if self._taken_at is None else now - self._taken_at
--- a/acaciamoor/openings/load.py
+++ b/acaciamoor/openings/load.py
@@ -1,6 +1,7 @@
 """Load of upstreams, estimated from the requests that pass this host."""
 
 import collections
+import collections.abc
 import datetime
 import math
 
@@ -185,6 +186,11 @@
                 math.log(seconds) - demand.log_seconds
             )
 
+    def retain(self, services: collections.abc.Set[str]) -> None:
+        """Remove the estimates of all other services."""
+        for service in self._demands_by_service.keys() - services:
+            del self._demands_by_service[service]
+
     def estimate(self, service: str, now: datetime.timedelta) -> float:
         """Return the number of slots that the recent requests occupy."""
         demand = self._demands_by_service.get(service)
--- a/acaciamoor/openings/pending.py
+++ b/acaciamoor/openings/pending.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import datetime
+import itertools
 
 import msgspec
 
@@ -73,6 +74,14 @@
         self._openings_by_key: collections.OrderedDict[FlowKey, Opening] = (
             collections.OrderedDict()
         )
+        # Those that no upstream has been sent yet, with their service when
+        # they were added, and their number by service.
+        self._unplaced_by_key: collections.OrderedDict[
+            FlowKey, tuple[Opening, str]
+        ] = collections.OrderedDict()
+        self._unplaced_by_service: collections.Counter[str] = (
+            collections.Counter()
+        )
 
     def __len__(self) -> int:
         return len(self._openings_by_key)
@@ -82,32 +91,47 @@
         return self._openings_by_key.get(key)
 
     def put(self, opening: Opening) -> None:
-        """Add an opening, or move it to the end of the order."""
-        self._openings_by_key[opening.key] = opening
-        self._openings_by_key.move_to_end(opening.key)
+        """Add an opening, or move it to the end of the order.
+
+        This is also how the object learns that an opening was placed.
+        """
+        key = opening.key
+        self._openings_by_key[key] = opening
+        self._openings_by_key.move_to_end(key)
+        self._forget_unplaced(key)
+        if not opening.tried_ids:
+            self._unplaced_by_key[key] = opening, opening.service
+            self._unplaced_by_service[opening.service] += 1
         if len(self._openings_by_key) > self._limit:
-            self._openings_by_key.popitem(last=False)
+            self.pop(next(iter(self._openings_by_key)))
 
     def pop(self, key: FlowKey) -> Opening | None:
         """Remove and return the opening of a flow; None if there is none."""
+        self._forget_unplaced(key)
         return self._openings_by_key.pop(key, None)
 
     def older_than(
         self, instant: datetime.timedelta
     ) -> collections.abc.Iterator[Opening]:
-        """Yield openings whose latest attempt was at `instant` or before."""
-        for opening in list(self._openings_by_key.values()):
-            if opening.last_tried_at > instant:
-                return
+        """Yield openings whose latest attempt was at `instant` or before.
+
+        Callers may remove the openings, and put them back with a later time.
+        """
+        for opening in list(
+            itertools.takewhile(
+                lambda opening: opening.last_tried_at <= instant,
+                self._openings_by_key.values(),
+            )
+        ):
             yield opening
 
     def unplaced(self) -> list[Opening]:
         """Return the openings that no upstream has been sent yet."""
-        return [
-            opening
-            for opening in self._openings_by_key.values()
-            if not opening.tried_ids
-        ]
+        return [opening for opening, _ in self._unplaced_by_key.values()]
+
+    def count_unplaced(self, service: str) -> int:
+        """Return the number of those of a service."""
+        return self._unplaced_by_service[service]
 
     @property
     def oldest(self) -> Opening | None:
@@ -117,3 +141,15 @@
     def clear(self) -> None:
         """Remove all openings."""
         self._openings_by_key.clear()
+        self._unplaced_by_key.clear()
+        self._unplaced_by_service.clear()
+
+    def _forget_unplaced(self, key: FlowKey) -> None:
+        unplaced = self._unplaced_by_key.pop(key, None)
+        if unplaced is None:
+            return
+        _, service = unplaced
+        counts = self._unplaced_by_service
+        counts[service] -= 1
+        if not counts[service]:
+            del counts[service]
--- a/acaciamoor/openings/tests/test_openings.py
+++ b/acaciamoor/openings/tests/test_openings.py
@@ -388,6 +388,32 @@
         self.assertEqual(3, len(pending))
         self.assertIsNone(pending.get((0, 0, 0, 0)))
 
+    def test_unplaced_openings_are_counted_by_service(self):
+        """Guards against a scan of all openings for each one that waits."""
+        pending = openings.PendingOpenings(limit=4)
+        added = [
+            openings.Opening((number, 0, 0, 0), b'', 0 * SECOND, service)
+            for number, service in enumerate(['desk', 'desk', 'board', 'desk'])
+        ]
+        for opening in (*added, added[0]):
+            pending.put(opening)
+        self.assertEqual(3, pending.count_unplaced('desk'))
+        added[0].tried_ids.append('a')
+        pending.put(added[0])
+        # The choice of the service is made anew with other routes.
+        added[2].service = 'desk'
+        pending.pop(added[2].key)
+        self.assertEqual(2, pending.count_unplaced('desk'))
+        self.assertEqual(0, pending.count_unplaced('board'))
+        for number in range(4, 8):
+            pending.put(
+                openings.Opening((number, 0, 0, 0), b'', 0 * SECOND, 'board')
+            )
+        self.assertEqual(0, pending.count_unplaced('desk'))
+        self.assertEqual(4, len(pending.unplaced()))
+        pending.clear()
+        self.assertEqual(0, pending.count_unplaced('board'))
+
 
 if __name__ == '__main__':
     unittest.main()
