Compute the admission without the growth of open flows

Flows that move to other hosts stay in the reports of their old hosts for up to 15 s, so that their growth said nothing of flows that end: a doubled number within 0.2 s cut the admitted openings to the floor. The admitted openings are now those of the last second plus the correction by load. Ruled out: dropping silent flows from the reports, because idle connections count for max_flows; holding the correction while the number of hosts changes, because flows move without such a change and expire 15 s later.

The mean of the openings counts only data centres of the newest picture; a sum that grew too old made all be admitted. Counts of callers survive a change of the routes. The controller is split into samples, shares and the decision.

--- a/acaciamoor/admission/__init__.py
+++ b/acaciamoor/admission/__init__.py
@@ -2,12 +2,14 @@
 
 from acaciamoor.admission.caller_counts import CallerCounts
 from acaciamoor.admission.controller import AdmissionController
-from acaciamoor.admission.controller import Evidence
+from acaciamoor.admission.evidence import Evidence
+from acaciamoor.admission.samples import CapacityEstimator
 from acaciamoor.admission.settings import AdmissionSettings
 
 __all__ = [
     'AdmissionController',
     'AdmissionSettings',
     'CallerCounts',
+    'CapacityEstimator',
     'Evidence',
 ]
--- a/acaciamoor/admission/tests/builders.py
+++ b/acaciamoor/admission/tests/builders.py
@@ -85,11 +85,13 @@
         sender='h-1',
         hosts=75,
         age=0.1,
+        data_centre=DATA_CENTRE,
         **counts,
     ) -> None:
         """Receive a summary; `demands` are openings and refused ones."""
         self._summary = msgspec.structs.replace(
             self._summary,
+            data_centre=data_centre,
             sender=sender,
             hosts=hosts,
             age=age,
--- a/acaciamoor/admission/tests/test_controller.py
+++ b/acaciamoor/admission/tests/test_controller.py
@@ -85,6 +85,83 @@
             delta=1.0,
         )
 
+    def test_flows_that_move_to_other_hosts_are_not_counted_as_growth(self):
+        """Guards against refusals after hosts start, die or are replaced.
+
+        Flows that moved stay open in the reports of their old hosts as well,
+        for up to 15 s, and then disappear.
+        """
+        admitted_by_flows = {}
+        for flows in (20, 40, 80):
+            site = builders.Site()
+            site.report(1 * SECOND, 8, DEMANDS, **FULL)
+            site.share(LESS_IMPORTANT, 1.1 * SECOND, 1)
+            counts = {**FULL, 'open_flows': flows}
+            site.report(1.2 * SECOND, 8, DEMANDS, **counts)
+            site.share(LESS_IMPORTANT, 1.3 * SECOND, 1)
+            evidence = site.controller.evidence_of(builders.SERVICE)
+            admitted_by_flows[flows] = evidence.admitted
+        for flows in (20, 80):
+            self.assertAlmostEqual(
+                admitted_by_flows[40], admitted_by_flows[flows], delta=150.0
+            )
+
+    def test_data_centre_that_falls_silent_adds_nothing(self):
+        """Guards against openings of a sum that is too old by now.
+
+        They were part of the mean of the last second, but no longer of the
+        demand, so that all was admitted in the middle of an overload.
+        """
+        sites = builders.Site(), builders.Site()
+        for number in range(12):
+            at = (1 + number / 5) * SECOND
+            for site in sites:
+                site.report(at, 8, DEMANDS, **FULL)
+            if number < 3:
+                sites[1].report(
+                    at, 8, DEMANDS, data_centre='kgn-b', sender='g-1', **FULL
+                )
+            for site in sites:
+                site.share(LESS_IMPORTANT, at + 0.1 * SECOND, 1)
+        # The last sum of the other data centre counted until 2.9 s.
+        alone, other = (
+            site.controller.evidence_of(builders.SERVICE) for site in sites
+        )
+        self.assertAlmostEqual(alone.admitted, other.admitted, delta=1.0)
+
+    def test_sums_of_other_data_centres_are_no_growth(self):
+        """Guards against rates between sums that were taken apart.
+
+        The sum of another data centre arrives without a new own one, so that
+        two pictures have equal times.
+        """
+        site = overloaded_site()
+        before = site.share(LESS_IMPORTANT, 1.1 * SECOND)
+        site.report(
+            1.1 * SECOND,
+            0,
+            DEMANDS,
+            data_centre='kgn-b',
+            sender='g-1',
+            open_flows=40,
+        )
+        shares = [site.share(LESS_IMPORTANT, 1.2 * SECOND)]
+        site.report(1.3 * SECOND, 8, DEMANDS, **FULL)
+        shares.append(site.share(LESS_IMPORTANT, 1.4 * SECOND))
+        for share in shares:
+            self.assertGreater(share, before - 0.15)
+
+    def test_greedy_caller_stays_known_when_routes_change(self):
+        """Guards against excess that starts anew with each configuration."""
+        site = overloaded_site()
+        site.share(IMPORTANT, 1.1 * SECOND, 500)
+        site.share(IMPORTANT, 1.1 * SECOND, 500, caller=-1)
+        site.controller.update_routes(
+            builders.route_table(IMPORTANT, LESS_IMPORTANT, version=2)
+        )
+        greedy = site.share(IMPORTANT, 1.2 * SECOND, 3, caller=-1)
+        self.assertEqual(0.0, greedy)
+
     def test_service_with_one_priority_is_left_alone(self):
         """Guards against a part that acts where it was not asked for."""
         site = overloaded_site(priorities=(2,))
--- a/acaciamoor/openings/pending.py
+++ b/acaciamoor/openings/pending.py
@@ -117,13 +117,12 @@
 
         Callers may remove the openings, and put them back with a later time.
         """
-        for opening in list(
+        yield from list(
             itertools.takewhile(
                 lambda opening: opening.last_tried_at <= instant,
                 self._openings_by_key.values(),
             )
-        ):
-            yield opening
+        )
 
     def unplaced(self) -> list[Opening]:
         """Return the openings that no upstream has been sent yet."""
