Start to refuse at fewer rejections, and settle sooner

Now 0.2, and 0.7 s instead of 1 s to settle.

A replay lets all flows move in the crest; load/tests/test_crowd.py passes.

--- a/acaciamoor/admission/settings.py
+++ b/acaciamoor/admission/settings.py
@@ -26,7 +26,8 @@
     settling_time : datetime.timedelta
         Time in which the open flows are brought to the number that the
         upstreams take. It is longer than twice the age of the picture, 0.4 s;
-        shorter ones let the load oscillate.
+        shorter ones let the load oscillate. With 1 s the worth at 1.5 times
+        the slots was 0.006 lower.
     queue_gain : float
         Relative change of the load for a relative distance from the target.
         0.2 had up to 0.02 less worth; 0.8 gained nothing.
@@ -65,9 +66,9 @@
     start_load: float = 3.0
     end_load: float = 1.0
     target_load: float = 3.75
-    settling_time: datetime.timedelta = datetime.timedelta(seconds=1)
+    settling_time: datetime.timedelta = datetime.timedelta(milliseconds=700)
     queue_gain: float = 0.4
-    max_rejected: float = 0.3
+    max_rejected: float = 0.2
     window: datetime.timedelta = datetime.timedelta(seconds=1)
     min_share: float = 0.01
     max_fall: float = 0.6
--- a/acaciamoor/load/scenarios/crowd_model.py
+++ b/acaciamoor/load/scenarios/crowd_model.py
@@ -42,6 +42,9 @@
 # Wait after which the oracle leaves out a request whose run time it does not
 # know. Of waits from 0.3 to 0.95 s it gave the most worth at twice the slots.
 _ORACLE_WAIT_S = 0.9
+# Time for which the old host of a flow that moved reports it as open, in
+# seconds. It is 15 s in the product; here both ends fall into the crest.
+_FORGET_AFTER_S = 1.5
 _SECOND = datetime.timedelta(seconds=1)
 
 
@@ -234,6 +237,9 @@
         Hosts that receive no summaries.
     long_share : float
         Share of the requests that belong to long, less important flows.
+    moved_at : float
+        Time at which all open flows move to other hosts, in seconds; 0 for
+        never. Old hosts report them as open for some more time.
     """
 
     _max_retry_delay_s = _MAX_RETURN_S
@@ -247,6 +253,7 @@
         greedy_rate: float = 0.0,
         blind_hosts: int = 0,
         long_share: float = LONG_SHARE,
+        moved_at: float = 0.0,
     ) -> None:
         super().__init__(
             PLACEMENTS_BY_NAME[placement](pattern, seed), pattern, seed
@@ -258,6 +265,8 @@
         self._greedy_rate = greedy_rate
         self._blind_hosts = blind_hosts
         self._long_share = long_share
+        self._moved_at = moved_at
+        self._moved_by_id = collections.Counter()
         self._demands_by_priority = {
             priority: collections.Counter()
             for priority in (IMPORTANT, LESS_IMPORTANT)
@@ -306,7 +315,18 @@
         ]
         for counts in self._demands_by_priority.values():
             counts.clear()
-        summary = msgspec.structs.replace(summary, demands=demands)
+        summary = msgspec.structs.replace(
+            summary,
+            demands=demands,
+            upstreams=[
+                msgspec.structs.replace(
+                    load,
+                    open_flows=load.open_flows
+                    + self._moved_by_id[load.upstream_id],
+                )
+                for load in summary.upstreams
+            ],
+        )
         for picture in self._placement.pictures[self._blind_hosts :]:
             delay = self._report_rng.uniform(*site_placements.REPORT_DELAYS_S)
             self._schedule(
@@ -317,6 +337,18 @@
             )
         self._schedule(now + site_placements.REPORT_INTERVAL_S, self._report)
 
+    def _send_next_request(self, now: float, flow: site_model.Flow) -> None:
+        # The next packet of a flow that moved makes its new host count it.
+        if flow.sent_at < self._moved_at <= now:
+            self._moved_by_id[flow.upstream_id] += 1
+            self._schedule(
+                now + _FORGET_AFTER_S, self._forget_moved, flow.upstream_id
+            )
+        super()._send_next_request(now, flow)
+
+    def _forget_moved(self, now: float, upstream_id: str) -> None:
+        self._moved_by_id[upstream_id] -= 1
+
     def _receive_summary(self, now: float, picture, summary) -> None:
         picture.record(summary, now * _SECOND)
 
--- a/acaciamoor/load/tests/test_crowd.py
+++ b/acaciamoor/load/tests/test_crowd.py
@@ -88,6 +88,21 @@
         naive = replay('none', 1.5, greedy_rate=2000.0)
         self.assertGreater(naive.greedy, 0.4)
 
+    def test_flows_that_move_to_other_hosts_cost_nothing(self):
+        """Guards against refusals for flows that are counted twice.
+
+        Hosts start in the crest; all flows move, and their old hosts report
+        them for some more time.
+        """
+        for seed in SEEDS:
+            with self.subTest(seed):
+                usual = replay('controller', 1.5, seed)
+                moved = replay('controller', 1.5, seed, moved_at=7.0)
+                self.assertGreater(
+                    moved.worth_in_crest, 0.98 * usual.worth_in_crest
+                )
+                self.assertGreaterEqual(moved.worst_important, 0.98)
+
     def test_hosts_without_a_picture_do_not_make_it_worse(self):
         """Guards against hosts that disagree: half of them admit all."""
         blind = replay('controller', 1.5, blind_hosts=38)
