--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -170,11 +170,12 @@
     ) -> bool:
         """Return whether a caller opens far more flows than the others."""
         settings = self._settings
+        # The mean takes a pass over all callers, and few have more openings.
+        if openings <= settings.caller_minimum:
+            return False
         mean = callers.mean_of_others(openings)
         # A caller alone takes the room of nobody.
-        return openings > settings.caller_minimum and (
-            0.0 < settings.caller_share * mean < openings
-        )
+        return 0.0 < settings.caller_share * mean < openings
 
     def _evidence(
         self, service: str, now: datetime.timedelta
--- a/acaciamoor/admission/tests/test_controller.py
+++ b/acaciamoor/admission/tests/test_controller.py
@@ -2,6 +2,7 @@
 
 import datetime
 import unittest
+from unittest import mock
 
 from acaciamoor.admission import caller_counts
 from acaciamoor.admission.tests import builders
@@ -237,6 +238,15 @@
         self.assertLess(greedy, 0.1)
         self.assertEqual(1.0, site.share(IMPORTANT, 1.2 * SECOND, 400))
 
+    def test_cost_does_not_grow_with_the_callers(self):
+        """Guards against a pass over all callers for each usual opening."""
+        site = overloaded_site()
+        with mock.patch.object(
+            caller_counts.CallerCounts, 'mean_of_others'
+        ) as mean:
+            site.share(IMPORTANT, 1.1 * SECOND, 500)
+        mean.assert_not_called()
+
     def test_greedy_caller_is_served_while_there_is_room(self):
         """Guards against a limit for callers without any overload."""
         site = builders.Site()
