--- /dev/null
+++ b/acaciamoor/evidence/settings.py
@@ -0,0 +1,58 @@
+"""Thresholds of the shared evidence."""
+
+import datetime
+
+import msgspec
+
+_SECOND = datetime.timedelta(seconds=1)
+
+
+class EvidenceSettings(msgspec.Struct, frozen=True):
+    """Thresholds of the shared evidence.
+
+    Parameters
+    ----------
+    min_unanswered : float
+        Unanswered openings, since the last answer, that make an upstream
+        silent. A host counts once for each upstream and interval, so that a
+        single host needs as many intervals without any answer.
+    memory : datetime.timedelta
+        Time after which evidence has lost two thirds of its weight, and
+        after which an upstream without any further evidence is used again.
+    min_partial : float
+        Unanswered openings within `memory` that make an upstream one that
+        fails in part, if they are `partial_share` of its openings.
+    partial_share : float
+        Share of unanswered openings. Callers lose far fewer packets on usual
+        paths.
+    flap_window : datetime.timedelta
+        An upstream that falls silent within this time after its recovery, or
+        after the ban that followed, flaps.
+    initial_ban, max_ban : datetime.timedelta
+        Time for which an upstream that flaps is avoided after its recovery.
+        It doubles each time.
+    max_avoided : float
+        Largest share of the capacity of a service that is avoided; see
+        docs/parts.md, part 6.
+    max_load : float
+        Load of the other upstreams up to which those are avoided that answer
+        by turns or in part. Beyond it they are needed.
+    trials : float
+        Openings in an interval, by all hosts of a data centre together, that
+        test each avoided upstream.
+    max_trial_share : float
+        Largest share of the flows that are trials. One that fails costs its
+        caller 40 ms.
+    """
+
+    min_unanswered: float = 2.0
+    memory: datetime.timedelta = 3 * _SECOND
+    min_partial: float = 5.0
+    partial_share: float = 0.3
+    flap_window: datetime.timedelta = 10 * _SECOND
+    initial_ban: datetime.timedelta = _SECOND
+    max_ban: datetime.timedelta = 16 * _SECOND
+    max_avoided: float = 0.5
+    max_load: float = 0.8
+    trials: float = 1.5
+    max_trial_share: float = 0.2
--- /dev/null
+++ b/acaciamoor/evidence/upstream.py
@@ -0,0 +1,236 @@
+"""Judgement of one upstream from sums of reports."""
+
+import datetime
+import enum
+import math
+
+from acaciamoor.evidence import settings as evidence_settings
+
+_ZERO = datetime.timedelta(0)
+# Doublings beyond these exceed any maximum.
+_MAX_DOUBLINGS = 16
+
+
+class Verdict(enum.Enum):
+    """What the evidence says of an upstream."""
+
+    HEALTHY = 'healthy'
+    SILENT = 'silent'
+    # It leaves a share of the openings unanswered.
+    PARTIAL = 'partial'
+    # It answers now, after it was silent several times.
+    FLAPPING = 'flapping'
+
+
+class Sample:
+    """Sums about an upstream in an interval.
+
+    Parameters
+    ----------
+    openings, unanswered : int
+        Opening packets sent, and those that were not answered.
+    answers : int
+        Requests that were answered or rejected.
+    """
+
+    __slots__ = ('answers', 'openings', 'unanswered')
+
+    def __init__(
+        self, openings: int = 0, unanswered: int = 0, answers: int = 0
+    ) -> None:
+        self.openings = openings
+        self.unanswered = unanswered
+        self.answers = answers
+
+    def add(self, openings: int, unanswered: int, answers: int) -> None:
+        """Add the sums of another data centre."""
+        self.openings += openings
+        self.unanswered += unanswered
+        self.answers += answers
+
+
+class SilenceTrack:
+    """Decides whether an upstream is silent to some hosts.
+
+    Parameters
+    ----------
+    settings : EvidenceSettings
+        Thresholds.
+    """
+
+    __slots__ = ('_settings', 'silent', 'unanswered')
+
+    def __init__(self, settings: evidence_settings.EvidenceSettings) -> None:
+        self._settings = settings
+        self.silent = False
+        # Unanswered openings since the last answer, with less weight the
+        # older they are.
+        self.unanswered = 0.0
+
+    def record(self, sample: Sample, decay: float) -> None:
+        """Take in an interval.
+
+        Parameters
+        ----------
+        sample : Sample
+            Sums of the interval.
+        decay : float
+            Weight that earlier evidence has left.
+        """
+        if not sample.answers:
+            self.unanswered = self.unanswered * decay + sample.unanswered
+            if self.unanswered >= self._settings.min_unanswered:
+                self.silent = True
+        elif sample.answers > sample.unanswered:
+            self.silent = False
+            # It may have fallen silent after these answers, which is judged
+            # with the next interval.
+            mostly = 2 * sample.unanswered > sample.openings
+            self.unanswered = float(sample.unanswered) if mostly else 0.0
+        else:
+            self.unanswered = float(sample.unanswered)
+
+    def clear(self) -> None:
+        """Forget all evidence."""
+        self.silent = False
+        self.unanswered = 0.0
+
+
+class UpstreamEvidence:
+    """Evidence about an upstream, and the ban if it flaps.
+
+    Parameters
+    ----------
+    settings : EvidenceSettings
+        Thresholds.
+    now : datetime.timedelta
+        Current time.
+    """
+
+    __slots__ = (
+        '_everyone',
+        '_openings',
+        '_own',
+        '_settings',
+        '_unanswered',
+        '_updated_at',
+        'ban_until',
+        'evidence_at',
+        'flaps',
+        'last',
+        'partial',
+        'recovered_at',
+        'silent',
+        'since',
+    )
+
+    def __init__(
+        self,
+        settings: evidence_settings.EvidenceSettings,
+        now: datetime.timedelta,
+    ) -> None:
+        self._settings = settings
+        self._everyone = SilenceTrack(settings)
+        # Hosts of one data centre alone may have lost the path.
+        self._own = SilenceTrack(settings)
+        self._openings = 0.0
+        self._unanswered = 0.0
+        self._updated_at = now
+        self.evidence_at = now
+        self.silent = False
+        self.partial = False
+        self.flaps = 0
+        self.ban_until = _ZERO
+        self.recovered_at: datetime.timedelta | None = None
+        self.since = now
+        self.last = Sample()
+
+    def record(
+        self, everyone: Sample, own: Sample, now: datetime.timedelta
+    ) -> None:
+        """Take in an interval.
+
+        Parameters
+        ----------
+        everyone, own : Sample
+            Sums of all data centres, and of the own one.
+        now : datetime.timedelta
+            Current time.
+        """
+        settings = self._settings
+        elapsed = max(_ZERO, now - self._updated_at)
+        decay = math.exp(-elapsed / settings.memory)
+        self._updated_at = now
+        self.last = everyone
+        if everyone.unanswered or everyone.answers:
+            self.evidence_at = now
+        elif now - self.evidence_at > settings.memory:
+            self._everyone.clear()
+            self._own.clear()
+        self._everyone.record(everyone, decay)
+        if self._everyone.silent:
+            self._own.clear()
+        else:
+            self._own.record(own, decay)
+        self._openings = self._openings * decay + everyone.openings
+        self._unanswered = self._unanswered * decay + everyone.unanswered
+        self._update_partial()
+        self._update_silence(now)
+
+    def verdict(self, now: datetime.timedelta) -> Verdict:
+        """Return what the evidence says now."""
+        if self.silent:
+            return Verdict.SILENT
+        if now < self.ban_until:
+            return Verdict.FLAPPING
+        return Verdict.PARTIAL if self.partial else Verdict.HEALTHY
+
+    def is_settled(self, now: datetime.timedelta) -> bool:
+        """Return whether nothing about the upstream needs to be kept."""
+        return (
+            self.verdict(now) is Verdict.HEALTHY
+            and not self.last.unanswered
+            and self._unanswered < 1.0
+            and not self._may_flap(now)
+        )
+
+    def _update_partial(self) -> None:
+        settings = self._settings
+        share = self._unanswered / max(1.0, self._openings)
+        if not self.partial:
+            self.partial = (
+                not self.silent
+                and self.last.answers > 0
+                and self._unanswered >= settings.min_partial
+                and share >= settings.partial_share
+            )
+        elif share < settings.partial_share / 2 or self._unanswered < 1.0:
+            self.partial = False
+
+    def _update_silence(self, now: datetime.timedelta) -> None:
+        silent = self._everyone.silent or self._own.silent
+        if silent == self.silent:
+            return
+        self.silent = silent
+        self.since = now
+        if silent:
+            self.partial = False
+            self.flaps = self.flaps + 1 if self._may_flap(now) else 0
+            return
+        # Openings of the time before do not make it one that fails in part.
+        self._openings = self._unanswered = 0.0
+        self.recovered_at = now
+        self.ban_until = now + self._ban()
+
+    def _may_flap(self, now: datetime.timedelta) -> bool:
+        if self.recovered_at is None:
+            return False
+        start = max(self.recovered_at, self.ban_until)
+        return now - start < self._settings.flap_window
+
+    def _ban(self) -> datetime.timedelta:
+        if not self.flaps:
+            return _ZERO
+        settings = self._settings
+        doublings = min(self.flaps - 1, _MAX_DOUBLINGS)
+        return min(settings.initial_ban * (1 << doublings), settings.max_ban)
--- a/acaciamoor/load/scenarios/site_model.py
+++ b/acaciamoor/load/scenarios/site_model.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import datetime
 import heapq
 import itertools
 import random
@@ -21,7 +20,6 @@
 # Time after which callers abandon an opening, and a request.
 _GIVE_UP_AFTER_S = 1.4
 _DEADLINE_S = 1.0
-_SECOND = datetime.timedelta(seconds=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -246,8 +244,8 @@
         if flow.upstream_id or start <= now < end:
             return
         if flow.tried_ids:
-            self._placement.detectors[flow.host].record_timeout(
-                flow.tried_ids[-1], now * _SECOND
+            self._placement.record_timeout(
+                flow.host, flow.tried_ids[-1], now
             )
         chosen = self._placement.choose(
             flow.host, self._candidates(now), flow.tried_ids, now
@@ -255,12 +253,13 @@
         if chosen is None:
             return
         flow.tried_ids.append(chosen.upstream_id)
+        self._placement.record_opening(flow.host, chosen.upstream_id)
         if self._is_silent(chosen.upstream_id, now):
             if not flow.retried:
                 flow.retried = True
                 self._schedule(now + _RETRY_AFTER_S, self._place, flow)
             return
-        self._placement.detectors[flow.host].record_answer(chosen.upstream_id)
+        self._placement.record_answer(flow.host, chosen.upstream_id)
         flow.upstream_id = chosen.upstream_id
         self._placement.open_flow(flow.host, flow.upstream_id)
         self._opened += 1
@@ -323,17 +322,25 @@
             self._handle_shed(now, flow)
 
     def _end_request(
-        self, now: float, flow: Flow, seconds: float = 0.0
+        self,
+        now: float,
+        flow: Flow,
+        seconds: float = 0.0,
+        rejected: bool = False,
     ) -> None:
-        self._placement.end_request(flow.host, flow.upstream_id, now, seconds)
+        self._placement.end_request(
+            flow.host, flow.upstream_id, now, seconds, rejected
+        )
 
-    def _abandon(self, now: float, flow: Flow) -> None:
-        self._end_request(now, flow)
+    def _abandon(
+        self, now: float, flow: Flow, rejected: bool = False
+    ) -> None:
+        self._end_request(now, flow, rejected=rejected)
         self._placement.close_flow(flow.host, flow.upstream_id)
 
     def _handle_shed(self, now: float, flow: Flow) -> None:
         self._rejected += self._is_measured(now)
-        self._abandon(now, flow)
+        self._abandon(now, flow, rejected=True)
         self._return_later(now, flow)
 
     def _return_later(self, now: float, flow: Flow) -> None:
--- a/acaciamoor/load/scenarios/site_placements.py
+++ b/acaciamoor/load/scenarios/site_placements.py
@@ -93,6 +93,17 @@
         for placer in self._placers:
             placer.set_warm_up(upstream_id, seconds * _SECOND, now * _SECOND)
 
+    def record_opening(self, host: int, upstream_id: str) -> None:
+        """Record that an opening packet is sent to an upstream."""
+
+    def record_timeout(self, host: int, upstream_id: str, now: float) -> None:
+        """Record that an upstream did not answer an opening packet."""
+        self.detectors[host].record_timeout(upstream_id, now * _SECOND)
+
+    def record_answer(self, host: int, upstream_id: str) -> None:
+        """Record that an upstream answered an opening packet."""
+        self.detectors[host].record_answer(upstream_id)
+
     def open_flow(self, host: int, upstream_id: str) -> None:
         """Record that a flow is open at an upstream."""
 
@@ -125,7 +136,12 @@
         )
 
     def end_request(
-        self, host: int, upstream_id: str, now: float, seconds: float
+        self,
+        host: int,
+        upstream_id: str,
+        now: float,
+        seconds: float,
+        rejected: bool = False,
     ) -> None:
         """Record that a request ends; `seconds` is 0 without an answer."""
         self.trackers[host].end_request(upstream_id, now * _SECOND)
@@ -214,9 +230,16 @@
 
     def open_flow(self, host: int, upstream_id: str) -> None:
         """Record that a flow is open at an upstream."""
-        counts = self._find_counts(host, upstream_id)
-        counts['open_flows'] += 1
-        counts['openings'] += 1
+        self._find_counts(host, upstream_id)['open_flows'] += 1
+
+    def record_opening(self, host: int, upstream_id: str) -> None:
+        """Record that an opening packet is sent to an upstream."""
+        self._find_counts(host, upstream_id)['openings'] += 1
+
+    def record_timeout(self, host: int, upstream_id: str, now: float) -> None:
+        """Record that an upstream did not answer an opening packet."""
+        super().record_timeout(host, upstream_id, now)
+        self._find_counts(host, upstream_id)['unanswered'] += 1
 
     def close_flow(self, host: int, upstream_id: str) -> None:
         """Record that a flow of an upstream has ended."""
@@ -230,17 +253,21 @@
         counts['started'] += 1
 
     def end_request(
-        self, host: int, upstream_id: str, now: float, seconds: float
+        self,
+        host: int,
+        upstream_id: str,
+        now: float,
+        seconds: float,
+        rejected: bool = False,
     ) -> None:
         """Record that a request ends; `seconds` is 0 without an answer."""
-        super().end_request(host, upstream_id, now, seconds)
+        super().end_request(host, upstream_id, now, seconds, rejected)
         counts = self._find_counts(host, upstream_id)
         counts['in_progress'] -= 1
         if seconds:
             counts['finished'] += 1
             counts['busy_seconds'] += seconds
-        else:
-            counts['rejected'] += 1
+        counts['rejected'] += rejected
 
     def take_reports(self, now: float) -> list[load_reports.LoadSummary]:
         """Return the sum of each data centre since the last call."""
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -15,6 +15,7 @@
 
 from acaciamoor import capacity as capacities
 from acaciamoor import directory
+from acaciamoor import evidence as evidences
 from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor.openings import failure_detector as detectors
@@ -39,6 +40,7 @@
 ChangeHandler = collections.abc.Callable[
     [model.UpstreamId, capacities.Capacity, capacities.Capacity], None
 ]
+EvidenceHandler = collections.abc.Callable[[evidences.Change], None]
 CapacityFactor = collections.abc.Callable[
     [model.UpstreamId, datetime.timedelta], float
 ]
@@ -101,6 +103,7 @@
     """What is computed for a service when the picture changes."""
 
     __slots__ = (
+        'avoided',
         'built_at',
         'candidates',
         'demands',
@@ -114,6 +117,7 @@
         'remote',
         'revision',
         'shares_by_load',
+        'trial_share',
     )
 
     def __init__(
@@ -141,6 +145,10 @@
         # Requests a second by data centre of the callers.
         self.demands: dict[str, float] = {}
         self.shares_by_load: dict[float, tuple[float, _Pool]] = {}
+        # Upstreams that shared evidence speaks against, and the share of the
+        # new flows that test them.
+        self.avoided: frozenset[model.UpstreamId] = frozenset()
+        self.trial_share = 0.0
 
 
 class SharedLoadChoice:
@@ -164,6 +172,8 @@
     handle_change : callable or None
         Called when the measured rate of an upstream has changed by more than
         a factor of two.
+    handle_evidence : callable or None
+        Called when hosts begin or cease to avoid an upstream together.
     """
 
     def __init__(
@@ -175,6 +185,7 @@
         get_capacity_factor: CapacityFactor,
         random_source: random.Random,
         handle_change: ChangeHandler | None = None,
+        handle_evidence: EvidenceHandler | None = None,
     ) -> None:
         self._data_centre = data_centre
         self._picture = picture
@@ -183,6 +194,8 @@
         self._get_capacity_factor = get_capacity_factor
         self._random = random_source
         self._handle_change = handle_change
+        self._handle_evidence = handle_evidence
+        self.evidence = evidences.SharedEvidence(data_centre)
         self._tables_by_service: dict[str, _Table] = {}
         self._levels_by_id: dict[model.UpstreamId, _Average] = {}
         self._demands_by_key: dict[tuple[str, str], _Average] = {}
@@ -224,6 +237,7 @@
         self._levels_by_id.pop(upstream_id, None)
         self.capacities_by_id.pop(upstream_id, None)
         self._estimator.forget(upstream_id)
+        self.evidence.forget(upstream_id)
 
     def choose(
         self,
@@ -261,7 +275,7 @@
             return (
                 (allowed is None or upstream_id in allowed)
                 and upstream_id not in excluded
-                and not self._failure_detector.is_suspected(upstream_id, now)
+                and not self._is_avoided(table, upstream_id, now)
                 and not (
                     max_flows
                     and table.open_flows[number]
@@ -270,6 +284,10 @@
                 )
             )
 
+        if not excluded and self._random.random() < table.trial_share:
+            trial = self._draw_trial(table, allowed)
+            if trial is not None:
+                return trial
         share, distant = self._spill_over(table, costs.spill_over_load)
         elsewhere = share > 0.0 and self._random.random() < share
         if elsewhere:
@@ -290,6 +308,17 @@
         ]
         return chosen if allowed is None else allowed[chosen.upstream_id]
 
+    def _is_avoided(
+        self,
+        table: _Table,
+        upstream_id: model.UpstreamId,
+        now: datetime.timedelta,
+    ) -> bool:
+        return (
+            upstream_id in table.avoided
+            or self._failure_detector.is_suspected(upstream_id, now)
+        )
+
     def _draw(
         self,
         pool: _Pool,
@@ -344,11 +373,14 @@
         self._revision = picture.revision
         self._updated_at = now
         self._discard_old_openings(now)
+        self._update_evidence(now)
         interval = picture.interval / _SECOND
         services_by_id: dict[str, str] = {}
         for entry in entries:
             upstream_id = entry.upstream_id
             services_by_id[upstream_id] = entry.service
+            if not self.evidence.is_measurable(upstream_id):
+                continue
             load = picture.load_of(
                 upstream_id, now
             ) or load_reports.UpstreamLoad(upstream_id)
@@ -386,12 +418,13 @@
             ):
                 return table
         table = _Table(list(candidates), self._revision, now)
-        self._fill(table, now)
         table.demands = {
             data_centre: average.value
             for (name, data_centre), average in self._demands_by_key.items()
             if name == service
         }
+        self._select_avoided(table, now)
+        self._fill(table, now)
         self._tables_by_service[service] = table
         return table
 
@@ -431,13 +464,53 @@
             # The draw follows what changes slowly. In proportion to free
             # room, all hosts go where a summary 0.3 s ago showed most of it.
             weight = rate * min(1.0, limit / max(1, entry.upstream.slots))
-            if self._failure_detector.is_suspected(upstream_id, now):
+            if self._is_avoided(table, upstream_id, now):
                 weight = 0.0
             is_local = entry.upstream.data_centre == self._data_centre
             (local if is_local else remote)[number] = weight
         table.local = _make_pool(table, local)
         table.remote = _make_pool(table, remote)
 
+    def _update_evidence(self, now: datetime.timedelta) -> None:
+        """Take in the evidence; a recovery clears what this host suspects."""
+        for change in self.evidence.update(self._picture.summaries(now), now):
+            if change.before is evidences.Verdict.SILENT:
+                self._failure_detector.record_answer(change.upstream_id)
+            if self._handle_evidence is not None:
+                self._handle_evidence(change)
+
+    def _select_avoided(
+        self, table: _Table, now: datetime.timedelta
+    ) -> None:
+        if not self.evidence.verdicts_by_id:
+            return
+        rate = 0.0
+        for entry in table.candidates:
+            found = self._estimator.estimate(entry.upstream_id, now)
+            if found.service_time:
+                rate += found.rate
+        demand = sum(table.demands.values())
+        table.avoided = self.evidence.select_avoided(
+            table.candidates, demand / rate if rate else None
+        )
+        if table.avoided:
+            table.trial_share = self.evidence.trial_share(
+                table.candidates,
+                table.avoided,
+                self._picture.summaries(now).get(self._data_centre),
+            )
+
+    def _draw_trial(
+        self,
+        table: _Table,
+        allowed: dict[model.UpstreamId, directory.UpstreamEntry] | None,
+    ) -> directory.UpstreamEntry | None:
+        """Return an avoided upstream that a flow of this host tests."""
+        upstream_id = self._random.choice(sorted(table.avoided))
+        if allowed is not None:
+            return allowed.get(upstream_id)
+        return table.candidates[table.numbers_by_id[upstream_id]]
+
     def _discard_old_openings(self, now: datetime.timedelta) -> None:
         age = self._picture.age(now)
         if age is None:
@@ -522,8 +595,8 @@
     ) -> tuple[float, _Pool]:
         rates: collections.Counter[str] = collections.Counter()
         for entry, rate in zip(table.candidates, table.rates, strict=True):
-            if not self._failure_detector.is_suspected(
-                entry.upstream_id, table.built_at
+            if not self._is_avoided(
+                table, entry.upstream_id, table.built_at
             ):
                 rates[entry.upstream.data_centre] += rate
         own = rates[self._data_centre]
