--- a/acaciamoor/evidence/settings.py
+++ b/acaciamoor/evidence/settings.py
@@ -16,6 +16,9 @@
         Unanswered openings, since the last answer, that make an upstream
         silent. A host counts once for each upstream and interval, so that a
         single host needs as many intervals without any answer.
+    min_mixed : int
+        Unanswered openings in an interval that make an upstream silent
+        beside at most half as many answers.
     memory : datetime.timedelta
         Time after which evidence has lost two thirds of its weight, and
         after which an upstream without any further evidence is used again.
@@ -46,6 +49,7 @@
     """
 
     min_unanswered: float = 2.0
+    min_mixed: int = 3
     memory: datetime.timedelta = 3 * _SECOND
     min_partial: float = 5.0
     partial_share: float = 0.3
--- a/acaciamoor/evidence/shared.py
+++ b/acaciamoor/evidence/shared.py
@@ -153,9 +153,7 @@
         Requests that hang at a silent upstream look like those at a slow one.
         """
         record = self._records_by_id.get(upstream_id)
-        return record is None or not (
-            record.silent or (record.last.unanswered and not record.last.answers)
-        )
+        return record is None or record.measurable
 
     def select_avoided(
         self,
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -77,18 +77,28 @@
         decay : float
             Weight that earlier evidence has left.
         """
-        if not sample.answers:
-            self.unanswered = self.unanswered * decay + sample.unanswered
+        unanswered, answers = sample.unanswered, sample.answers
+        if (
+            unanswered >= self._settings.min_mixed
+            and unanswered >= 2 * answers
+            and 2 * unanswered >= sample.openings
+        ):
+            # The answers are those of the time before it fell silent, or of
+            # requests that it had received by then.
+            self.silent = True
+            self.unanswered = float(unanswered)
+        elif not answers:
+            self.unanswered = self.unanswered * decay + unanswered
             if self.unanswered >= self._settings.min_unanswered:
                 self.silent = True
-        elif sample.answers > sample.unanswered:
+        elif answers > unanswered:
             self.silent = False
             # It may have fallen silent after these answers, which is judged
             # with the next interval.
-            mostly = 2 * sample.unanswered > sample.openings
-            self.unanswered = float(sample.unanswered) if mostly else 0.0
+            mostly = 2 * unanswered > sample.openings
+            self.unanswered = float(unanswered) if mostly else 0.0
         else:
-            self.unanswered = float(sample.unanswered)
+            self.unanswered = float(unanswered)
 
     def clear(self) -> None:
         """Forget all evidence."""
@@ -118,6 +128,7 @@
         'evidence_at',
         'flaps',
         'last',
+        'measurable',
         'partial',
         'recovered_at',
         'silent',
@@ -144,6 +155,8 @@
         self.recovered_at: datetime.timedelta | None = None
         self.since = now
         self.last = Sample()
+        # Whether the last interval says how fast it is.
+        self.measurable = True
 
     def record(
         self, everyone: Sample, own: Sample, now: datetime.timedelta
@@ -174,8 +187,14 @@
             self._own.record(own, decay)
         self._openings = self._openings * decay + everyone.openings
         self._unanswered = self._unanswered * decay + everyone.unanswered
+        was_silent = self.silent
         self._update_partial()
         self._update_silence(now)
+        self.measurable = not (
+            self.silent
+            or was_silent
+            or 2 * everyone.unanswered > everyone.answers
+        )
 
     def verdict(self, now: datetime.timedelta) -> Verdict:
         """Return what the evidence says now."""
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -468,6 +468,7 @@
                 weight = 0.0
             is_local = entry.upstream.data_centre == self._data_centre
             (local if is_local else remote)[number] = weight
+        self._raise_hidden_loads(table)
         table.local = _make_pool(table, local)
         table.remote = _make_pool(table, remote)
 
@@ -511,6 +512,29 @@
             return allowed.get(upstream_id)
         return table.candidates[table.numbers_by_id[upstream_id]]
 
+    def _raise_hidden_loads(self, table: _Table) -> None:
+        """Let silent upstreams that stay in use look as busy as the others.
+
+        They take no requests, and would win each comparison.
+        """
+        verdicts = self.evidence.verdicts_by_id
+        if not verdicts:
+            return
+        loads_by_number = {
+            number: table.loads[number] / table.limits[number]
+            for number, entry in enumerate(table.candidates)
+            if entry.upstream_id not in verdicts
+        }
+        if not loads_by_number:
+            return
+        typical = sum(loads_by_number.values()) / len(loads_by_number)
+        for number, entry in enumerate(table.candidates):
+            verdict = verdicts.get(entry.upstream_id)
+            if verdict is evidences.Verdict.SILENT:
+                table.loads[number] = max(
+                    table.loads[number], typical * table.limits[number]
+                )
+
     def _discard_old_openings(self, now: datetime.timedelta) -> None:
         age = self._picture.age(now)
         if age is None:
