Repeat openings at upstreams that have not failed lately

Upstreams that failed a short time ago have lost their flows and would win each comparison by load; a repeated opening must not go to one of them.

--- a/acaciamoor/evidence/shared.py
+++ b/acaciamoor/evidence/shared.py
@@ -155,6 +155,16 @@
         record = self._records_by_id.get(upstream_id)
         return record is None or record.measurable
 
+    def list_doubtful(
+        self, now: datetime.timedelta
+    ) -> frozenset[model.UpstreamId]:
+        """Return the upstreams that fail, or failed a short time ago."""
+        return frozenset(
+            upstream_id
+            for upstream_id, record in self._records_by_id.items()
+            if record.is_doubtful(now)
+        )
+
     def select_avoided(
         self,
         candidates: collections.abc.Sequence[directory.UpstreamEntry],
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -213,6 +213,12 @@
             and not self._may_flap(now)
         )
 
+    def is_doubtful(self, now: datetime.timedelta) -> bool:
+        """Return whether it fails, or failed a short time ago."""
+        return self._may_flap(now) or (
+            self.verdict(now) is not Verdict.HEALTHY
+        )
+
     def _update_partial(self) -> None:
         settings = self._settings
         share = self._unanswered / max(1.0, self._openings)
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -107,6 +107,7 @@
         'built_at',
         'candidates',
         'demands',
+        'doubtful',
         'limits',
         'loads',
         'local',
@@ -145,9 +146,10 @@
         # Requests a second by data centre of the callers.
         self.demands: dict[str, float] = {}
         self.shares_by_load: dict[float, tuple[float, _Pool]] = {}
-        # Upstreams that shared evidence speaks against, and the share of the
-        # new flows that test them.
+        # Upstreams that shared evidence speaks against, those that failed a
+        # short time ago, and the share of the new flows that test the former.
         self.avoided: frozenset[model.UpstreamId] = frozenset()
+        self.doubtful: frozenset[model.UpstreamId] = frozenset()
         self.trial_share = 0.0
 
 
@@ -276,6 +278,7 @@
                 (allowed is None or upstream_id in allowed)
                 and upstream_id not in excluded
                 and not self._is_avoided(table, upstream_id, now)
+                and not (excluded and upstream_id in table.doubtful)
                 and not (
                     max_flows
                     and table.open_flows[number]
@@ -483,6 +486,7 @@
     def _select_avoided(
         self, table: _Table, now: datetime.timedelta
     ) -> None:
+        table.doubtful = self.evidence.list_doubtful(now)
         if not self.evidence.verdicts_by_id:
             return
         rate = 0.0
@@ -513,24 +517,22 @@
         return table.candidates[table.numbers_by_id[upstream_id]]
 
     def _raise_hidden_loads(self, table: _Table) -> None:
-        """Let silent upstreams that stay in use look as busy as the others.
+        """Let upstreams that failed a short time ago look no idler.
 
-        They take no requests, and would win each comparison.
+        They have lost their flows and would win each comparison; if they
+        fail again, most new flows would be there.
         """
-        verdicts = self.evidence.verdicts_by_id
-        if not verdicts:
-            return
-        loads_by_number = {
-            number: table.loads[number] / table.limits[number]
+        doubtful = table.doubtful
+        loads = [
+            table.loads[number] / table.limits[number]
             for number, entry in enumerate(table.candidates)
-            if entry.upstream_id not in verdicts
-        }
-        if not loads_by_number:
+            if entry.upstream_id not in doubtful
+        ]
+        if not doubtful or not loads:
             return
-        typical = sum(loads_by_number.values()) / len(loads_by_number)
+        typical = sum(loads) / len(loads)
         for number, entry in enumerate(table.candidates):
-            verdict = verdicts.get(entry.upstream_id)
-            if verdict is evidences.Verdict.SILENT:
+            if entry.upstream_id in doubtful:
                 table.loads[number] = max(
                     table.loads[number], typical * table.limits[number]
                 )
