--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -523,6 +523,7 @@
         fail again, most new flows would be there.
         """
         doubtful = table.doubtful
+        verdicts = self.evidence.verdicts_by_id
         loads = [
             table.loads[number] / table.limits[number]
             for number, entry in enumerate(table.candidates)
@@ -532,7 +533,7 @@
             return
         typical = sum(loads) / len(loads)
         for number, entry in enumerate(table.candidates):
-            if entry.upstream_id in doubtful:
+            if verdicts.get(entry.upstream_id) is evidences.Verdict.SILENT:
                 table.loads[number] = max(
                     table.loads[number], typical * table.limits[number]
                 )
