--- a/acaciamoor/evidence/shared.py
+++ b/acaciamoor/evidence/shared.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import datetime
+import math
 
 import msgspec
 
@@ -20,6 +21,7 @@
     upstreams.Verdict.FLAPPING,
 )
 _EMPTY = upstreams.Sample()
+_ZERO = datetime.timedelta(0)
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -82,6 +84,7 @@
             model.UpstreamId, upstreams.UpstreamEvidence
         ] = {}
         self._verdicts_by_id: dict[model.UpstreamId, upstreams.Verdict] = {}
+        self._updated_at = _ZERO
         # Incarnation and serial of the last summary of each data centre.
         self._seen_by_data_centre: dict[str, tuple[int, int]] = {}
 
@@ -108,6 +111,8 @@
         """
         records = self._records_by_id
         fresh = self._take_new(summaries)
+        if not fresh:
+            return []
         for summary in fresh:
             for load in summary.upstreams:
                 if (
@@ -121,6 +126,9 @@
         if not records:
             return []
         everyone, own = self._sum(fresh)
+        elapsed = max(_ZERO, now - self._updated_at)
+        decay = math.exp(-elapsed / self._settings.memory)
+        self._updated_at = now
         changes: list[Change] = []
         for upstream_id, record in list(records.items()):
             before = self._verdicts_by_id.get(
@@ -129,6 +137,7 @@
             record.record(
                 everyone.get(upstream_id, _EMPTY),
                 own.get(upstream_id, _EMPTY),
+                decay,
                 now,
             )
             after = record.verdict(now)
@@ -183,9 +192,7 @@
         verdicts = self._verdicts_by_id
         if not verdicts:
             return frozenset()
-        bad = [
-            entry for entry in candidates if entry.upstream_id in verdicts
-        ]
+        bad = [entry for entry in candidates if entry.upstream_id in verdicts]
         bad.sort(key=self._severity)
         capacity = sum(_slots(entry) for entry in candidates)
         settings = self._settings
@@ -195,7 +202,9 @@
             rest = capacity - avoided - _slots(entry)
             if rest < capacity * (1.0 - settings.max_avoided):
                 continue
-            if verdicts[entry.upstream_id] is not upstreams.Verdict.SILENT and (
+            if verdicts[
+                entry.upstream_id
+            ] is not upstreams.Verdict.SILENT and (
                 load is None or load * capacity > settings.max_load * rest
             ):
                 # It answers most of the time, and the others have no room.
@@ -206,9 +215,8 @@
 
     def trial_share(
         self,
-        candidates: collections.abc.Sequence[directory.UpstreamEntry],
         avoided: collections.abc.Collection[model.UpstreamId],
-        summary: load_reports.LoadSummary | None,
+        openings: int,
     ) -> float:
         """Return the share of the new flows that test avoided upstreams.
 
@@ -217,24 +225,13 @@
 
         Parameters
         ----------
-        candidates : sequence of UpstreamEntry
-            Upstreams of the service that accept new flows.
         avoided : collection of UpstreamId
-            Those that are avoided.
-        summary : LoadSummary or None
-            Newest sum of the own data centre.
+            Upstreams of a service that are avoided.
+        openings : int
+            Openings for the service in an interval, by all hosts of the data
+            centre.
         """
-        if not avoided:
-            return 0.0
         settings = self._settings
-        ids = {entry.upstream_id for entry in candidates}
-        openings = 0
-        if summary is not None:
-            openings = sum(
-                load.openings
-                for load in summary.upstreams
-                if load.upstream_id in ids
-            )
         return min(
             settings.trials * len(avoided) / max(1, openings),
             settings.max_trial_share,
@@ -313,5 +310,5 @@
         record.last.openings,
         record.last.unanswered,
         record.last.answers,
-        max(datetime.timedelta(0), record.ban_until - now),
+        max(_ZERO, record.ban_until - now),
     )
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -2,7 +2,6 @@
 
 import datetime
 import enum
-import math
 
 from acaciamoor.evidence import settings as evidence_settings
 
@@ -49,6 +48,20 @@
         self.answers += answers
 
 
+class _Totals:
+    """Openings and unanswered ones, which lose weight with time."""
+
+    __slots__ = ('openings', 'unanswered')
+
+    def __init__(self) -> None:
+        self.openings = 0.0
+        self.unanswered = 0.0
+
+    def add(self, sample: Sample, decay: float) -> None:
+        self.openings = self.openings * decay + sample.openings
+        self.unanswered = self.unanswered * decay + sample.unanswered
+
+
 class SilenceTrack:
     """Decides whether an upstream is silent to some hosts.
 
@@ -119,11 +132,10 @@
 
     __slots__ = (
         '_everyone',
-        '_openings',
         '_own',
+        '_own_totals',
         '_settings',
-        '_unanswered',
-        '_updated_at',
+        '_totals',
         'ban_until',
         'evidence_at',
         'flaps',
@@ -144,9 +156,8 @@
         self._everyone = SilenceTrack(settings)
         # Hosts of one data centre alone may have lost the path.
         self._own = SilenceTrack(settings)
-        self._openings = 0.0
-        self._unanswered = 0.0
-        self._updated_at = now
+        self._totals = _Totals()
+        self._own_totals = _Totals()
         self.evidence_at = now
         self.silent = False
         self.partial = False
@@ -159,7 +170,11 @@
         self.measurable = True
 
     def record(
-        self, everyone: Sample, own: Sample, now: datetime.timedelta
+        self,
+        everyone: Sample,
+        own: Sample,
+        decay: float,
+        now: datetime.timedelta,
     ) -> None:
         """Take in an interval.
 
@@ -167,13 +182,12 @@
         ----------
         everyone, own : Sample
             Sums of all data centres, and of the own one.
+        decay : float
+            Weight that earlier evidence has left.
         now : datetime.timedelta
             Current time.
         """
         settings = self._settings
-        elapsed = max(_ZERO, now - self._updated_at)
-        decay = math.exp(-elapsed / settings.memory)
-        self._updated_at = now
         self.last = everyone
         if everyone.unanswered or everyone.answers:
             self.evidence_at = now
@@ -185,8 +199,8 @@
             self._own.clear()
         else:
             self._own.record(own, decay)
-        self._openings = self._openings * decay + everyone.openings
-        self._unanswered = self._unanswered * decay + everyone.unanswered
+        self._totals.add(everyone, decay)
+        self._own_totals.add(own, decay)
         was_silent = self.silent
         self._update_partial()
         self._update_silence(now)
@@ -209,7 +223,7 @@
         return (
             self.verdict(now) is Verdict.HEALTHY
             and not self.last.unanswered
-            and self._unanswered < 1.0
+            and self._totals.unanswered < 1.0
             and not self._may_flap(now)
         )
 
@@ -221,15 +235,20 @@
 
     def _update_partial(self) -> None:
         settings = self._settings
-        share = self._unanswered / max(1.0, self._openings)
+        # The path from the hosts of another data centre may be at fault.
+        totals = self._own_totals
+        if totals.openings < settings.min_partial:
+            totals = self._totals
+        unanswered = totals.unanswered
+        share = unanswered / max(1.0, totals.openings)
         if not self.partial:
             self.partial = (
                 not self.silent
                 and self.last.answers > 0
-                and self._unanswered >= settings.min_partial
+                and unanswered >= settings.min_partial
                 and share >= settings.partial_share
             )
-        elif share < settings.partial_share / 2 or self._unanswered < 1.0:
+        elif share < settings.partial_share / 2 or unanswered < 1.0:
             self.partial = False
 
     def _update_silence(self, now: datetime.timedelta) -> None:
@@ -243,7 +262,8 @@
             self.flaps = self.flaps + 1 if self._may_flap(now) else 0
             return
         # Openings of the time before do not make it one that fails in part.
-        self._openings = self._unanswered = 0.0
+        self._totals = _Totals()
+        self._own_totals = _Totals()
         self.recovered_at = now
         self.ban_until = now + self._ban()
 
--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -6,6 +6,7 @@
 from acaciamoor import admission as admissions
 from acaciamoor import capacity
 from acaciamoor import directory as directories
+from acaciamoor import evidence
 from acaciamoor import hashing
 from acaciamoor import load_reports
 from acaciamoor import model
@@ -93,6 +94,7 @@
             random_source,
             picture=load_picture,
             handle_change=self._record_capacity,
+            handle_evidence=self._record_evidence,
         )
 
     def handle(
@@ -582,6 +584,9 @@
             )
         )
 
+    def _record_evidence(self, change: evidence.Change) -> None:
+        self._observations.append(effects.EvidenceChanged(change))
+
     def _record_timeout(
         self, opening: openings.Opening, now: datetime.timedelta
     ) -> None:
--- a/acaciamoor/forwarder/effects.py
+++ b/acaciamoor/forwarder/effects.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from acaciamoor import admission
+from acaciamoor import evidence
 from acaciamoor import model
 from acaciamoor.openings import pending
 
@@ -201,10 +202,23 @@
     limit: float
 
 
+class EvidenceChanged(msgspec.Struct, frozen=True):
+    """Hosts begin or cease to avoid an upstream together.
+
+    Parameters
+    ----------
+    change : Change
+        What the evidence says, and why.
+    """
+
+    change: evidence.Change
+
+
 Observation = (
     UpstreamSuspected
     | SuspicionCleared
     | HandshakeCompleted
     | ImportantFlowWaits
     | CapacityChanged
+    | EvidenceChanged
 )
--- a/acaciamoor/forwarder/shell/load_exchange.py
+++ b/acaciamoor/forwarder/shell/load_exchange.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from acaciamoor import clock as clocks
+from acaciamoor import evidence
 from acaciamoor import load_reports
 from acaciamoor import replica as replicas
 from acaciamoor.forwarder.shell import relay_server
@@ -53,6 +54,9 @@
         Sends a message to a relay; returns whether its connection took it.
     clock : Clock
         Source of time.
+    is_current : callable
+        Returns whether this host is in contact with the store; otherwise its
+        evidence about upstreams is left out.
     """
 
     def __init__(
@@ -64,8 +68,11 @@
         server: relay_server.RelayServer,
         send_to_relay: SendToRelay,
         clock: clocks.Clock,
+        is_current: collections.abc.Callable[[], bool],
     ) -> None:
         self._own = own
+        self._is_current = is_current
+        self._report_filter = evidence.ReportFilter()
         self._collector = collector
         self._picture = picture
         self._peers = peers
@@ -117,7 +124,9 @@
         # Taken also where it is not sent: this drops the counts of upstreams
         # that are gone, and of earlier intervals. The first one has no
         # interval to which its counts belong.
-        report = self._collector.take_report(now)
+        report = self._report_filter.apply(
+            self._collector.take_report(now), self._is_current(), now
+        )
         if hosts < load_reports.MIN_HOSTS or report.serial == 1:
             return None
         known = self._picture.summaries(now).keys() | {self._own.data_centre}
@@ -228,7 +237,9 @@
             self._refuse('report', host_id, f'it names {named}')
         elif data_centre != self._own.data_centre:
             self._refuse('report', host_id, f'it is from {data_centre!r}')
-        elif self._aggregator.record(report, sent_at):
+        elif self._aggregator.record(
+            evidence.limit_unanswered(report), sent_at
+        ):
             self.messages.add(type='report', outcome='received')
         else:
             # A repeated report, or one of an earlier process.
--- a/acaciamoor/forwarder/shell/observer.py
+++ b/acaciamoor/forwarder/shell/observer.py
@@ -5,6 +5,7 @@
 import logging
 
 from acaciamoor import clock as clocks
+from acaciamoor import evidence
 from acaciamoor.forwarder import effects
 from acaciamoor.forwarder import sync_status
 from acaciamoor.openings import pending
@@ -81,6 +82,10 @@
             'acaciamoor_forwarder_capacity_changes_total',
             'Changes of a measured rate by more than a factor of two.',
         )
+        self.evidence_changes = exposition.Counter(
+            'acaciamoor_forwarder_evidence_changes_total',
+            'Changes of what shared evidence says of an upstream.',
+        )
         self.handshakes = exposition.Histogram(
             'acaciamoor_forwarder_handshake_seconds',
             'Time from an opening packet to the next packet of its flow.',
@@ -99,6 +104,7 @@
             self.refusals_beside_room,
             self.priority_inversions,
             self.capacity_changes,
+            self.evidence_changes,
             self.handshakes,
         )
 
@@ -243,6 +249,21 @@
             limit=round(change.limit, 1),
         )
 
+    def record_evidence(self, change: evidence.Change) -> None:
+        """Record that hosts judge an upstream otherwise than before."""
+        self.evidence_changes.add(verdict=change.after.value)
+        self._log(
+            bounded.LogCategory.FAILURE,
+            f'upstream is {change.after.value} to all hosts',
+            None,
+            upstream=change.upstream_id,
+            before=change.before.value,
+            openings=change.openings,
+            unanswered=change.unanswered,
+            answers=change.answers,
+            ban_ms=round(change.ban / _MS),
+        )
+
     def log_suppressed_lines(self) -> None:
         """Log how many lines the rate limit suppressed."""
         suppressed = self._rate_limiter.pop_suppressed_count()
@@ -328,3 +349,10 @@
     observation: effects.CapacityChanged, observer: Observer
 ) -> None:
     observer.record_capacity(observation)
+
+
+@_record.register
+def _record_evidence(
+    observation: effects.EvidenceChanged, observer: Observer
+) -> None:
+    observer.record_evidence(observation.change)
--- a/acaciamoor/forwarder/shell/process.py
+++ b/acaciamoor/forwarder/shell/process.py
@@ -249,6 +249,11 @@
             if (found := estimator.estimate(upstream_id, now)).known
         ]
 
+    def _failing_upstreams(self) -> dict[str, int]:
+        """Return the upstreams that fail, a bounded number of them."""
+        verdicts = self._core.placer.find_verdicts(self._clock.monotonic())
+        return dict.fromkeys(sorted(verdicts)[:_MAX_REPORTED_UPSTREAMS], 1)
+
     def _read_picture_age(self) -> float:
         age = self._load_picture.age(self._clock.monotonic())
         return -1.0 if age is None else age.total_seconds()
@@ -352,6 +357,12 @@
                 },
                 label='upstream',
             ),
+            exposition.Gauge(
+                'acaciamoor_forwarder_failing_upstream',
+                '1 if shared evidence says that an upstream fails.',
+                self._failing_upstreams,
+                label='upstream',
+            ),
             exposition.Gauge(
                 'acaciamoor_forwarder_resident_memory_bytes',
                 'Resident memory of the process; 0 if it cannot be read.',
--- a/acaciamoor/forwarder/shell/store_synchronizer.py
+++ b/acaciamoor/forwarder/shell/store_synchronizer.py
@@ -120,6 +120,7 @@
                 self._server,
                 self._links.send,
                 clock,
+                self.is_current,
             )
             self._server.on_report = self._load_exchange.receive_from_listener
         # Set if another host was asked for data and has none.
--- a/acaciamoor/forwarder/tests/test_load_reports.py
+++ b/acaciamoor/forwarder/tests/test_load_reports.py
@@ -224,6 +224,7 @@
         self.picture = load_reports.LoadPicture('kgn-a')
         self.peers = replica.PeerList(own)
         self.sent_up = []
+        self.is_current = True
         self.collector = load_reports.LoadCollector('h-0', 'kgn-a', 1)
         self.exchange = load_exchange.LoadExchange(
             own,
@@ -233,6 +234,7 @@
             self.server,
             lambda *sent: not self.sent_up.append(sent),
             self.clock,
+            lambda: self.is_current,
         )
 
 
--- a/acaciamoor/load/scenarios/site_model.py
+++ b/acaciamoor/load/scenarios/site_model.py
@@ -244,9 +244,7 @@
         if flow.upstream_id or start <= now < end:
             return
         if flow.tried_ids:
-            self._placement.record_timeout(
-                flow.host, flow.tried_ids[-1], now
-            )
+            self._placement.record_timeout(flow.host, flow.tried_ids[-1], now)
         chosen = self._placement.choose(
             flow.host, self._candidates(now), flow.tried_ids, now
         )
@@ -332,9 +330,7 @@
             flow.host, flow.upstream_id, now, seconds, rejected
         )
 
-    def _abandon(
-        self, now: float, flow: Flow, rejected: bool = False
-    ) -> None:
+    def _abandon(self, now: float, flow: Flow, rejected: bool = False) -> None:
         self._end_request(now, flow, rejected=rejected)
         self._placement.close_flow(flow.host, flow.upstream_id)
 
--- a/acaciamoor/load/scenarios/site_placements.py
+++ b/acaciamoor/load/scenarios/site_placements.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from acaciamoor import directory
+from acaciamoor import evidence
 from acaciamoor import load_reports
 from acaciamoor import openings
 from acaciamoor.load.scenarios import opening_model
@@ -217,6 +218,12 @@
             collections.defaultdict(collections.Counter)
             for _ in self.data_centres
         ]
+        # Unanswered openings and answers of each host, by upstream.
+        self._signs: list[dict[str, collections.Counter]] = [
+            collections.defaultdict(collections.Counter)
+            for _ in range(pattern.hosts)
+        ]
+        self._filters = [evidence.ReportFilter() for _ in self._signs]
         self._serial = 0
         self._entries = opening_model.upstream_entries(
             pattern.upstreams, pattern.data_centres, pattern.slots
@@ -239,7 +246,7 @@
     def record_timeout(self, host: int, upstream_id: str, now: float) -> None:
         """Record that an upstream did not answer an opening packet."""
         super().record_timeout(host, upstream_id, now)
-        self._find_counts(host, upstream_id)['unanswered'] += 1
+        self._signs[host][upstream_id]['unanswered'] += 1
 
     def close_flow(self, host: int, upstream_id: str) -> None:
         """Record that a flow of an upstream has ended."""
@@ -268,10 +275,13 @@
             counts['finished'] += 1
             counts['busy_seconds'] += seconds
         counts['rejected'] += rejected
+        if seconds or rejected:
+            self._signs[host][upstream_id]['finished'] += 1
 
     def take_reports(self, now: float) -> list[load_reports.LoadSummary]:
         """Return the sum of each data centre since the last call."""
         self._serial += 1
+        self._add_evidence(now)
         summaries = []
         for name, counts_by_id in zip(
             self.data_centres, self._counts, strict=True
@@ -297,6 +307,32 @@
                         del counts[key]
         return summaries
 
+    def _add_evidence(self, now: float) -> None:
+        """Add what each host reports of unanswered openings."""
+        for host, signs_by_id in enumerate(self._signs):
+            report = load_reports.HostReport(
+                f'host-{host}',
+                self.data_centres[host % len(self.data_centres)],
+                1,
+                self._serial,
+                REPORT_INTERVAL_S,
+                [
+                    load_reports.UpstreamLoad(
+                        upstream_id, openings=signs['unanswered'], **signs
+                    )
+                    for upstream_id, signs in signs_by_id.items()
+                ],
+            )
+            filtered = self._filters[host].apply(report, True, now * _SECOND)
+            for load in filtered.upstreams:
+                counts = self._find_counts(host, load.upstream_id)
+                signs = signs_by_id[load.upstream_id]
+                counts['unanswered'] += load.unanswered
+                # Some were sent in the interval before.
+                left_out = signs['unanswered'] - load.openings
+                counts['openings'] = max(0, counts['openings'] - left_out)
+            signs_by_id.clear()
+
     def receive_report(
         self, summary: load_reports.LoadSummary, now: float
     ) -> None:
--- a/acaciamoor/openings/placer.py
+++ b/acaciamoor/openings/placer.py
@@ -8,6 +8,7 @@
 
 from acaciamoor import capacity as capacities
 from acaciamoor import directory
+from acaciamoor import evidence
 from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor.openings import failure_detector as detectors
@@ -84,6 +85,8 @@
     handle_change : callable or None
         Called when the measured rate of an upstream has changed by more than
         a factor of two.
+    handle_evidence : callable or None
+        Called when hosts begin or cease to avoid an upstream together.
 
     Attributes
     ----------
@@ -103,6 +106,7 @@
         settings: PlacementSettings | None = None,
         picture: load_reports.LoadPicture | None = None,
         handle_change: shared_load.ChangeHandler | None = None,
+        handle_evidence: shared_load.EvidenceHandler | None = None,
     ) -> None:
         self._data_centre = data_centre
         self.local_hosts = 1
@@ -132,6 +136,7 @@
                 self._capacity_factor,
                 random_source,
                 handle_change,
+                handle_evidence,
             )
 
     @property
@@ -141,6 +146,15 @@
         """Measured capacity of the upstreams in the picture."""
         return {} if self._shared is None else self._shared.capacities_by_id
 
+    def find_verdicts(
+        self, now: datetime.timedelta
+    ) -> collections.abc.Mapping[model.UpstreamId, evidence.Verdict]:
+        """Return what shared evidence says of upstreams that fail."""
+        shared = self._shared
+        if shared is None or not shared.is_fresh(now):
+            return {}
+        return shared.evidence.verdicts_by_id
+
     def set_warm_up(
         self,
         upstream_id: model.UpstreamId,
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -483,9 +483,7 @@
             if self._handle_evidence is not None:
                 self._handle_evidence(change)
 
-    def _select_avoided(
-        self, table: _Table, now: datetime.timedelta
-    ) -> None:
+    def _select_avoided(self, table: _Table, now: datetime.timedelta) -> None:
         table.doubtful = self.evidence.list_doubtful(now)
         if not self.evidence.verdicts_by_id:
             return
@@ -498,11 +496,15 @@
         table.avoided = self.evidence.select_avoided(
             table.candidates, demand / rate if rate else None
         )
-        if table.avoided:
+        summary = self._picture.summaries(now).get(self._data_centre)
+        if table.avoided and summary is not None:
             table.trial_share = self.evidence.trial_share(
-                table.candidates,
                 table.avoided,
-                self._picture.summaries(now).get(self._data_centre),
+                sum(
+                    load.openings
+                    for load in summary.upstreams
+                    if load.upstream_id in table.numbers_by_id
+                ),
             )
 
     def _draw_trial(
@@ -622,9 +624,7 @@
     ) -> tuple[float, _Pool]:
         rates: collections.Counter[str] = collections.Counter()
         for entry, rate in zip(table.candidates, table.rates, strict=True):
-            if not self._is_avoided(
-                table, entry.upstream_id, table.built_at
-            ):
+            if not self._is_avoided(table, entry.upstream_id, table.built_at):
                 rates[entry.upstream.data_centre] += rate
         own = rates[self._data_centre]
         if not own or not rates.total():
--- a/acaciamoor/tests/test_core_imports.py
+++ b/acaciamoor/tests/test_core_imports.py
@@ -13,6 +13,7 @@
     'configuration',
     'configuration_check',
     'directory',
+    'evidence',
     'findings',
     'flows',
     'hashing',
@@ -55,6 +56,7 @@
 DATA_PATH_PACKAGES = (
     'admission',
     'directory',
+    'evidence',
     'forwarder',
     'load_reports',
     'openings',
