--- a/acaciamoor/evidence/settings.py
+++ b/acaciamoor/evidence/settings.py
@@ -19,6 +19,9 @@
     min_mixed : int
         Unanswered openings in an interval that make an upstream silent
         beside at most half as many answers.
+    min_answered : int
+        Openings that a silent upstream must have answered before it counts as
+        back, if it has answered no request.
     memory : datetime.timedelta
         Time after which evidence has lost two thirds of its weight, and
         after which an upstream without any further evidence is used again.
@@ -50,6 +53,7 @@
 
     min_unanswered: float = 2.0
     min_mixed: int = 3
+    min_answered: int = 3
     memory: datetime.timedelta = 3 * _SECOND
     min_partial: float = 5.0
     partial_share: float = 0.3
--- a/acaciamoor/evidence/tests/test_evidence.py
+++ b/acaciamoor/evidence/tests/test_evidence.py
@@ -49,6 +49,17 @@
         self.assertEqual((SILENT, HEALTHY), (change.before, change.after))
         self.assertFalse(self.judge.avoided())
 
+    def test_upstream_with_long_requests(self):
+        """Guards against lost packets that pass for silence, for lack of
+        answers to requests, and against a silence that never ends.
+        """
+        self.judge.receive(load(unanswered=1, openings=9), times=9)
+        self.assertIs(HEALTHY, self.judge.verdict())
+        self.judge.receive(load(unanswered=9), times=9)
+        self.assertIs(SILENT, self.judge.verdict())
+        self.judge.receive(load(openings=2), times=2)
+        self.assertIs(HEALTHY, self.judge.verdict())
+
     def test_upstream_that_fails_in_part_is_avoided_while_others_have_room(
         self,
     ):
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -71,14 +71,16 @@
         Thresholds.
     """
 
-    __slots__ = ('_settings', 'silent', 'unanswered')
+    __slots__ = ('_answered', '_settings', '_totals', 'silent')
 
     def __init__(self, settings: evidence_settings.EvidenceSettings) -> None:
         self._settings = settings
         self.silent = False
-        # Unanswered openings since the last answer, with less weight the
-        # older they are.
-        self.unanswered = 0.0
+        # Since the last answer.
+        self._totals = _Totals()
+        # Openings that were answered since it is silent. An opening of the
+        # last 40 ms counts until its silence does.
+        self._answered = 0
 
     def record(self, sample: Sample, decay: float) -> None:
         """Take in an interval.
@@ -90,33 +92,54 @@
         decay : float
             Weight that earlier evidence has left.
         """
-        unanswered, answers = sample.unanswered, sample.answers
-        if (
-            unanswered >= self._settings.min_mixed
-            and unanswered >= 2 * answers
-            and 2 * unanswered >= sample.openings
-        ):
-            # The answers are those of the time before it fell silent, or of
-            # requests that it had received by then.
-            self.silent = True
-            self.unanswered = float(unanswered)
-        elif not answers:
-            self.unanswered = self.unanswered * decay + unanswered
-            if self.unanswered >= self._settings.min_unanswered:
+        if self._shows_silence(sample, decay):
+            if not self.silent:
                 self.silent = True
-        elif answers > unanswered:
+                self._answered = 0
+        elif sample.answers > sample.unanswered or self._is_answered(sample):
             self.silent = False
-            # It may have fallen silent after these answers, which is judged
-            # with the next interval.
-            mostly = 2 * unanswered > sample.openings
-            self.unanswered = float(unanswered) if mostly else 0.0
-        else:
-            self.unanswered = float(unanswered)
 
     def clear(self) -> None:
         """Forget all evidence."""
         self.silent = False
-        self.unanswered = 0.0
+        self._totals = _Totals()
+
+    def _shows_silence(self, sample: Sample, decay: float) -> bool:
+        settings = self._settings
+        unanswered = sample.unanswered
+        mostly = 2 * unanswered >= sample.openings
+        if sample.answers:
+            # It may have fallen silent after these answers, or finish what it
+            # had received before. If that is not clear, the next interval
+            # tells.
+            self._totals = _Totals()
+            if mostly:
+                self._totals.add(sample, 1.0)
+            return (
+                mostly
+                and unanswered >= settings.min_mixed
+                and unanswered >= 2 * sample.answers
+            )
+        totals = self._totals
+        totals.add(sample, decay)
+        return (
+            unanswered > 0
+            and totals.unanswered >= settings.min_unanswered
+            and 2 * totals.unanswered >= totals.openings
+        )
+
+    def _is_answered(self, sample: Sample) -> bool:
+        """Return whether openings are answered, though no request is yet.
+
+        The requests of some services take seconds.
+        """
+        if not self.silent:
+            return False
+        self._answered += sample.openings - sample.unanswered
+        return (
+            not sample.unanswered
+            and self._answered >= self._settings.min_answered
+        )
 
 
 class UpstreamEvidence:
--- a/acaciamoor/load/scenarios/site_placements.py
+++ b/acaciamoor/load/scenarios/site_placements.py
@@ -3,7 +3,9 @@
 import collections
 import datetime
 import functools
+import math
 import random
+import sys
 
 import msgspec
 
@@ -350,6 +352,18 @@
         return self._counts[host % len(self._counts)][upstream_id]
 
 
+class AlonePlacement(SharedLoadPlacement):
+    """Baseline: the shared load, but each host finds failures alone."""
+
+    def __init__(self, pattern: site_patterns.SitePattern, seed: int) -> None:
+        alone = evidence.EvidenceSettings(
+            min_unanswered=math.inf, min_mixed=sys.maxsize, min_partial=math.inf
+        )
+        super().__init__(
+            pattern, seed, openings.PlacementSettings(evidence=alone)
+        )
+
+
 class LeastSharedLoadPlacement(SharedLoadPlacement):
     """Baseline: all hosts choose the least load in the picture."""
 
@@ -380,6 +394,9 @@
     'one table for all hosts': functools.partial(
         OwnViewPlacement, shared=True
     ),
+    # What hosts do that share their load, without and with the evidence.
+    'shared load': AlonePlacement,
+    'shared evidence': SharedLoadPlacement,
 }
 # Placements on the patterns of upstreams whose capacity must be measured.
 CAPACITY_PLACEMENTS_BY_NAME = {
--- a/acaciamoor/openings/placer.py
+++ b/acaciamoor/openings/placer.py
@@ -8,7 +8,7 @@
 
 from acaciamoor import capacity as capacities
 from acaciamoor import directory
-from acaciamoor import evidence
+from acaciamoor import evidence as evidences
 from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor.openings import failure_detector as detectors
@@ -39,6 +39,8 @@
         which a share of the new flows goes elsewhere.
     upload_spill_over_load : float
         The same for uploads.
+    evidence : EvidenceSettings
+        Thresholds of the evidence that hosts share.
     """
 
     remote_cost: float = 0.5
@@ -47,6 +49,7 @@
     tie_noise: float = 0.1
     spill_over_load: float = 0.6
     upload_spill_over_load: float = 0.8
+    evidence: evidences.EvidenceSettings = evidences.EvidenceSettings()
 
 
 class OpeningPlacer:
@@ -133,6 +136,7 @@
                 picture,
                 self.estimator,
                 failure_detector,
+                evidences.SharedEvidence(data_centre, settings.evidence),
                 self._capacity_factor,
                 random_source,
                 handle_change,
@@ -148,7 +152,7 @@
 
     def find_verdicts(
         self, now: datetime.timedelta
-    ) -> collections.abc.Mapping[model.UpstreamId, evidence.Verdict]:
+    ) -> collections.abc.Mapping[model.UpstreamId, evidences.Verdict]:
         """Return what shared evidence says of upstreams that fail."""
         shared = self._shared
         if shared is None or not shared.is_fresh(now):
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -166,6 +166,8 @@
         Receives the shared load of all candidates.
     failure_detector : FailureDetector
         Tells which upstreams are suspected.
+    evidence : SharedEvidence
+        Tells which upstreams all hosts avoid.
     get_capacity_factor : callable
         Returns the share of its capacity that an unmeasured upstream has at
         a time; below 1 in warm-up.
@@ -184,6 +186,7 @@
         picture: load_reports.LoadPicture,
         estimator: capacities.CapacityEstimator,
         failure_detector: detectors.FailureDetector,
+        evidence: evidences.SharedEvidence,
         get_capacity_factor: CapacityFactor,
         random_source: random.Random,
         handle_change: ChangeHandler | None = None,
@@ -197,7 +200,7 @@
         self._random = random_source
         self._handle_change = handle_change
         self._handle_evidence = handle_evidence
-        self.evidence = evidences.SharedEvidence(data_centre)
+        self.evidence = evidence
         self._tables_by_service: dict[str, _Table] = {}
         self._levels_by_id: dict[model.UpstreamId, _Average] = {}
         self._demands_by_key: dict[tuple[str, str], _Average] = {}
