--- a/acaciamoor/load/scenarios/site_placements.py
+++ b/acaciamoor/load/scenarios/site_placements.py
@@ -148,6 +148,8 @@
     ) -> None:
         """Record that a request ends; `seconds` is 0 without an answer."""
         self.trackers[host].end_request(upstream_id, now * _SECOND)
+        if seconds or rejected:
+            self.trackers[host].record_answer(upstream_id, now * _SECOND)
         if seconds:
             self.demand_trackers[host].add_answered(
                 opening_model.SERVICE, seconds * _SECOND
--- a/acaciamoor/openings/flow_tracker.py
+++ b/acaciamoor/openings/flow_tracker.py
@@ -261,6 +261,7 @@
         reported = self._reported_by_key.pop(key, None) is not None
         size = (acknowledged - before) & _SEQUENCE_MASK
         if 0 < size < _HALF_SEQUENCE:
+            self._load_tracker.record_answer(flow.upstream_id, now)
             self._collector.finish_request(
                 flow.upstream_id,
                 flow.service,
--- a/acaciamoor/openings/load.py
+++ b/acaciamoor/openings/load.py
@@ -1,6 +1,7 @@
 """Load of upstreams, estimated from the requests that pass this host."""
 
 import collections
+import collections.abc
 import datetime
 import math
 
@@ -72,6 +73,26 @@
         self._flows_by_id: collections.Counter[model.UpstreamId] = (
             collections.Counter()
         )
+        # The latest answers come last.
+        self._answered_at_by_id: dict[
+            model.UpstreamId, datetime.timedelta
+        ] = {}
+
+    def record_answer(
+        self, upstream_id: model.UpstreamId, now: datetime.timedelta
+    ) -> None:
+        """Record that an upstream answered a request."""
+        self._answered_at_by_id.pop(upstream_id, None)
+        self._answered_at_by_id[upstream_id] = now
+
+    def list_answered(
+        self, since: datetime.timedelta
+    ) -> collections.abc.Iterator[model.UpstreamId]:
+        """Return upstreams that have answered since a time, latest first."""
+        for upstream_id in reversed(self._answered_at_by_id):
+            if self._answered_at_by_id[upstream_id] < since:
+                return
+            yield upstream_id
 
     def begin_flow(self, upstream_id: model.UpstreamId) -> None:
         """Record an open flow of an upstream."""
@@ -125,6 +146,7 @@
     def forget(self, upstream_id: model.UpstreamId) -> None:
         """Remove the load of an upstream that no longer exists."""
         self._loads_by_id.pop(upstream_id, None)
+        self._answered_at_by_id.pop(upstream_id, None)
 
 
 class _Demand:
--- a/acaciamoor/openings/placer.py
+++ b/acaciamoor/openings/placer.py
@@ -137,6 +137,7 @@
                 self.estimator,
                 failure_detector,
                 evidences.SharedEvidence(data_centre, settings.evidence),
+                load_tracker,
                 self._capacity_factor,
                 random_source,
                 handle_change,
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -19,6 +19,7 @@
 from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor.openings import failure_detector as detectors
+from acaciamoor.openings import load as trackers
 
 # Time constant of the averages of levels and demands. A snapshot of the
 # requests in progress holds for about 50 ms, less than its age; averages over
@@ -31,6 +32,9 @@
 # Draws from a pool before all candidates are compared. Where half of them are
 # suspected or were tried, six draws find two others with 0.89.
 _MAX_DRAWS = 6
+# Time for which an answer shows that an upstream is not silent, when an
+# opening is repeated. Beyond it all upstreams in use have answered.
+_ANSWER_MEMORY = datetime.timedelta(milliseconds=500)
 # Share of the interval that must pass before the picture is taken in again.
 _MIN_INTERVAL_SHARE = 0.75
 # Changes of the rate by more than this are reported; see docs/parts.md.
@@ -168,6 +172,8 @@
         Tells which upstreams are suspected.
     evidence : SharedEvidence
         Tells which upstreams all hosts avoid.
+    load_tracker : LoadTracker
+        Tells which upstreams have answered this host.
     get_capacity_factor : callable
         Returns the share of its capacity that an unmeasured upstream has at
         a time; below 1 in warm-up.
@@ -187,6 +193,7 @@
         estimator: capacities.CapacityEstimator,
         failure_detector: detectors.FailureDetector,
         evidence: evidences.SharedEvidence,
+        load_tracker: trackers.LoadTracker,
         get_capacity_factor: CapacityFactor,
         random_source: random.Random,
         handle_change: ChangeHandler | None = None,
@@ -201,6 +208,7 @@
         self._handle_change = handle_change
         self._handle_evidence = handle_evidence
         self.evidence = evidence
+        self._load_tracker = load_tracker
         self._tables_by_service: dict[str, _Table] = {}
         self._levels_by_id: dict[model.UpstreamId, _Average] = {}
         self._demands_by_key: dict[tuple[str, str], _Average] = {}
@@ -275,25 +283,47 @@
         if candidates != table.candidates:
             allowed = {entry.upstream_id: entry for entry in candidates}
 
+        def has_room(number: int) -> bool:
+            upstream_id = table.candidates[number].upstream_id
+            return (allowed is None or upstream_id in allowed) and not (
+                max_flows
+                and table.open_flows[number] + self._opened_by_id[upstream_id]
+                >= max_flows
+            )
+
         def accepts(number: int) -> bool:
             upstream_id = table.candidates[number].upstream_id
             return (
-                (allowed is None or upstream_id in allowed)
-                and upstream_id not in excluded
+                upstream_id not in excluded
+                and has_room(number)
                 and not self._is_avoided(table, upstream_id, now)
-                and not (excluded and upstream_id in table.doubtful)
-                and not (
-                    max_flows
-                    and table.open_flows[number]
-                    + self._opened_by_id[upstream_id]
-                    >= max_flows
-                )
             )
 
-        if not excluded and self._random.random() < table.trial_share:
-            trial = self._draw_trial(table, allowed)
-            if trial is not None:
-                return trial
+        def accepts_proven(number: int) -> bool:
+            upstream_id = table.candidates[number].upstream_id
+            return upstream_id not in table.doubtful and accepts(number)
+
+        chosen = None
+        if excluded:
+            chosen = self._find_answering(table, accepts_proven, now)
+            if chosen is None:
+                chosen = self._draw_best(table, costs, accepts_proven)
+        elif table.avoided and self._random.random() < table.trial_share:
+            chosen = self._draw_trial(table, has_room)
+        if chosen is None:
+            chosen = self._draw_best(table, costs, accepts)
+        if chosen is None:
+            return None
+        entry = table.candidates[chosen]
+        return entry if allowed is None else allowed[entry.upstream_id]
+
+    def _draw_best(
+        self,
+        table: _Table,
+        costs: SharedCosts,
+        accepts: collections.abc.Callable[[int], bool],
+    ) -> int | None:
+        """Return the least loaded of some upstreams, drawn by their rates."""
         share, distant = self._spill_over(table, costs.spill_over_load)
         elsewhere = share > 0.0 and self._random.random() < share
         if elsewhere:
@@ -307,12 +337,30 @@
                 for number in range(len(table.candidates))
                 if accepts(number)
             ]
-        if not drawn:
-            return None
-        chosen = table.candidates[
-            min(drawn, key=lambda number: self._rank(table, number, costs))
-        ]
-        return chosen if allowed is None else allowed[chosen.upstream_id]
+        return min(
+            drawn,
+            key=lambda number: self._rank(table, number, costs),
+            default=None,
+        )
+
+    def _find_answering(
+        self,
+        table: _Table,
+        accepts: collections.abc.Callable[[int], bool],
+        now: datetime.timedelta,
+    ) -> int | None:
+        """Return the upstream that answered this host last.
+
+        When several upstreams fall silent together, it is the one that most
+        likely answers.
+        """
+        for upstream_id in self._load_tracker.list_answered(
+            now - _ANSWER_MEMORY
+        ):
+            number = table.numbers_by_id.get(upstream_id)
+            if number is not None and accepts(number):
+                return number
+        return None
 
     def _is_avoided(
         self,
@@ -513,13 +561,12 @@
     def _draw_trial(
         self,
         table: _Table,
-        allowed: dict[model.UpstreamId, directory.UpstreamEntry] | None,
-    ) -> directory.UpstreamEntry | None:
+        has_room: collections.abc.Callable[[int], bool],
+    ) -> int | None:
         """Return an avoided upstream that a flow of this host tests."""
         upstream_id = self._random.choice(sorted(table.avoided))
-        if allowed is not None:
-            return allowed.get(upstream_id)
-        return table.candidates[table.numbers_by_id[upstream_id]]
+        number = table.numbers_by_id[upstream_id]
+        return number if has_room(number) else None
 
     def _raise_hidden_loads(self, table: _Table) -> None:
         """Let upstreams that failed a short time ago look no idler.
