--- a/acaciamoor/evidence/report_filter.py
+++ b/acaciamoor/evidence/report_filter.py
@@ -11,6 +11,9 @@
 # that did not. Flows of callers pause for 0.6 s on average, so that most
 # upstreams in use are heard from within it.
 _WINDOW = datetime.timedelta(seconds=2)
+# Silent upstreams from which on "most of them" says something about the link.
+# A host that has tried two upstreams by chance tried two that have failed.
+_MIN_SILENT = 3
 
 
 class ReportFilter:
@@ -61,7 +64,12 @@
                 if now - when > _WINDOW:
                     del times[upstream_id]
         # An upstream that has fallen silent was heard before.
-        trusted = in_contact and len(silent) <= len(heard.keys() - silent)
+        answering = len(heard.keys() - silent)
+        trusted = (
+            in_contact
+            and answering > 0
+            and (len(silent) < _MIN_SILENT or len(silent) <= answering)
+        )
         return limit_unanswered(report, 1 if trusted else 0)
 
 
--- a/acaciamoor/evidence/settings.py
+++ b/acaciamoor/evidence/settings.py
@@ -63,4 +63,4 @@
     max_avoided: float = 0.5
     max_load: float = 0.6
     trials: float = 1.5
-    max_trial_share: float = 0.05
+    max_trial_share: float = 0.1
