--- a/acaciamoor/evidence/shared.py
+++ b/acaciamoor/evidence/shared.py
@@ -20,6 +20,9 @@
     upstreams.Verdict.PARTIAL,
     upstreams.Verdict.FLAPPING,
 )
+# Share of the interval by which a sum may be older than the newest one, so
+# that the two are of the same interval.
+_NEW_SHARE = 0.6
 _EMPTY = upstreams.Sample()
 _ZERO = datetime.timedelta(0)
 
@@ -262,7 +265,12 @@
         records = self._records_by_id
         everyone: dict[model.UpstreamId, upstreams.Sample] = {}
         own: dict[model.UpstreamId, upstreams.Sample] = {}
+        newest_age = min(summary.age for summary in summaries)
         for summary in summaries:
+            # Answers of an interval before say nothing against silence.
+            is_new = (
+                summary.age <= newest_age + _NEW_SHARE * summary.interval
+            )
             is_own = summary.data_centre == self._data_centre
             for load in summary.upstreams:
                 upstream_id = load.upstream_id
@@ -272,7 +280,7 @@
                 numbers = (
                     load.openings,
                     load.unanswered,
-                    load.finished + load.rejected,
+                    (load.finished + load.rejected) if is_new else 0,
                 )
                 if is_own:
                     own[upstream_id] = upstreams.Sample(*numbers)
