--- a/acaciamoor/evidence/settings.py
+++ b/acaciamoor/evidence/settings.py
@@ -37,6 +37,9 @@
     initial_ban, max_ban : datetime.timedelta
         Time for which an upstream that flaps is avoided after its recovery.
         It doubles each time.
+    hang_time : datetime.timedelta
+        Time after a recovery for which requests of the time before may still
+        count as in progress; callers and hosts give up by then.
     max_avoided : float
         Largest share of the capacity of a service that is avoided; see
         docs/parts.md, part 6.
@@ -60,6 +63,7 @@
     flap_window: datetime.timedelta = 10 * _SECOND
     initial_ban: datetime.timedelta = _SECOND
     max_ban: datetime.timedelta = 16 * _SECOND
+    hang_time: datetime.timedelta = 1.5 * _SECOND
     max_avoided: float = 0.5
     max_load: float = 0.6
     trials: float = 1.5
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -224,12 +224,11 @@
             self._own.record(own, decay)
         self._totals.add(everyone, decay)
         self._own_totals.add(own, decay)
-        was_silent = self.silent
         self._update_partial()
         self._update_silence(now)
         self.measurable = not (
             self.silent
-            or was_silent
+            or self._has_hanging_requests(now)
             or 2 * everyone.unanswered > everyone.answers
         )
 
@@ -290,6 +289,12 @@
         self.recovered_at = now
         self.ban_until = now + self._ban()
 
+    def _has_hanging_requests(self, now: datetime.timedelta) -> bool:
+        return (
+            self.recovered_at is not None
+            and now - self.recovered_at < self._settings.hang_time
+        )
+
     def _may_flap(self, now: datetime.timedelta) -> bool:
         if self.recovered_at is None:
             return False
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -12,6 +12,7 @@
 import itertools
 import math
 import random
+import statistics
 
 from acaciamoor import capacity as capacities
 from acaciamoor import directory
@@ -583,7 +584,7 @@
         ]
         if not doubtful or not loads:
             return
-        typical = sum(loads) / len(loads)
+        typical = statistics.median(loads)
         for number, entry in enumerate(table.candidates):
             if verdicts.get(entry.upstream_id) is evidences.Verdict.SILENT:
                 table.loads[number] = max(
