--- a/acaciamoor/evidence/settings.py
+++ b/acaciamoor/evidence/settings.py
@@ -14,8 +14,8 @@
     ----------
     min_unanswered : float
         Unanswered openings, since the last answer, that make an upstream
-        silent. A host counts once for each upstream and interval, so that a
-        single host needs as many intervals without any answer.
+        silent: two within 2 s. A host counts once for each upstream and
+        interval, so that a single host needs two intervals.
     min_mixed : int
         Unanswered openings in an interval that make an upstream silent
         beside at most half as many answers.
@@ -54,7 +54,7 @@
         caller 40 ms.
     """
 
-    min_unanswered: float = 2.0
+    min_unanswered: float = 1.5
     min_mixed: int = 3
     min_answered: int = 3
     memory: datetime.timedelta = 3 * _SECOND
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -8,6 +8,8 @@
 _ZERO = datetime.timedelta(0)
 # Doublings beyond these exceed any maximum.
 _MAX_DOUBLINGS = 16
+# Weight below which an unanswered opening counts for nothing.
+_LITTLE = 0.3
 
 
 class Verdict(enum.Enum):
@@ -99,6 +101,11 @@
         elif sample.answers > sample.unanswered or self._is_answered(sample):
             self.silent = False
 
+    @property
+    def is_questionable(self) -> bool:
+        """Whether it has left an opening unanswered since its last answer."""
+        return self._totals.unanswered > _LITTLE
+
     def clear(self) -> None:
         """Forget all evidence."""
         self.silent = False
@@ -229,6 +236,7 @@
         self.measurable = not (
             self.silent
             or self._has_hanging_requests(now)
+            or self._everyone.is_questionable
             or 2 * everyone.unanswered > everyone.answers
         )
 
@@ -244,7 +252,7 @@
         """Return whether nothing about the upstream needs to be kept."""
         return (
             self.verdict(now) is Verdict.HEALTHY
-            and not self.last.unanswered
+            and not self._everyone.is_questionable
             and self._totals.unanswered < 1.0
             and not self._may_flap(now)
         )
