--- a/acaciamoor/evidence/shared.py
+++ b/acaciamoor/evidence/shared.py
@@ -268,9 +268,7 @@
         newest_age = min(summary.age for summary in summaries)
         for summary in summaries:
             # Answers of an interval before say nothing against silence.
-            is_new = (
-                summary.age <= newest_age + _NEW_SHARE * summary.interval
-            )
+            is_new = summary.age <= newest_age + _NEW_SHARE * summary.interval
             is_own = summary.data_centre == self._data_centre
             for load in summary.upstreams:
                 upstream_id = load.upstream_id
--- a/acaciamoor/load/scenarios/site_placements.py
+++ b/acaciamoor/load/scenarios/site_placements.py
@@ -359,7 +359,9 @@
 
     def __init__(self, pattern: site_patterns.SitePattern, seed: int) -> None:
         alone = evidence.EvidenceSettings(
-            min_unanswered=math.inf, min_mixed=sys.maxsize, min_partial=math.inf
+            min_unanswered=math.inf,
+            min_mixed=sys.maxsize,
+            min_partial=math.inf,
         )
         super().__init__(
             pattern, seed, openings.PlacementSettings(evidence=alone)
