--- a/acaciamoor/evidence/settings.py
+++ b/acaciamoor/evidence/settings.py
@@ -41,8 +41,10 @@
         Time after a recovery for which requests of the time before may still
         count as in progress; callers and hosts give up by then.
     max_avoided : float
-        Largest share of the capacity of a service that is avoided; see
-        docs/parts.md, part 6.
+        Largest share of the capacity of a service that is avoided, beside a
+        single upstream with no more than half of it. With a share of 0.5 the
+        rest was overloaded while half of a service was silent; see
+        docs/design/shared-evidence.md.
     max_load : float
         Load of the other upstreams up to which those are avoided that answer
         by turns or in part. Beyond it they are needed.
@@ -64,7 +66,7 @@
     initial_ban: datetime.timedelta = _SECOND
     max_ban: datetime.timedelta = 16 * _SECOND
     hang_time: datetime.timedelta = 1.5 * _SECOND
-    max_avoided: float = 0.5
+    max_avoided: float = 0.3
     max_load: float = 0.6
     trials: float = 1.5
     max_trial_share: float = 0.1
--- a/acaciamoor/evidence/shared.py
+++ b/acaciamoor/evidence/shared.py
@@ -14,12 +14,15 @@
 
 # Upstreams about which evidence is kept; a report holds no more.
 _MAX_RECORDS = 4096
-# The worst come first, as no more than half of a service is avoided.
+# The worst come first, as a part of a service only is avoided.
 _ORDER = (
     upstreams.Verdict.SILENT,
     upstreams.Verdict.PARTIAL,
     upstreams.Verdict.FLAPPING,
 )
+# Share of the capacity of a service that stays in use in any case; see
+# docs/parts.md, part 6.
+_MIN_USED = 0.5
 # Share of the interval by which a sum may be older than the newest one, so
 # that the two are of the same interval.
 _NEW_SHARE = 0.6
@@ -202,17 +205,19 @@
         avoided = 0
         chosen = []
         for entry in bad:
-            rest = capacity - avoided - _slots(entry)
-            if rest < capacity * (1.0 - settings.max_avoided):
+            slots = _slots(entry)
+            rest = capacity - avoided - slots
+            if avoided + slots > settings.max_avoided * capacity and (
+                avoided or rest < _MIN_USED * capacity
+            ):
                 continue
-            if verdicts[
-                entry.upstream_id
-            ] is not upstreams.Verdict.SILENT and (
+            silent = verdicts[entry.upstream_id] is upstreams.Verdict.SILENT
+            if not silent and (
                 load is None or load * capacity > settings.max_load * rest
             ):
                 # It answers most of the time, and the others have no room.
                 continue
-            avoided += _slots(entry)
+            avoided += slots
             chosen.append(entry.upstream_id)
         return frozenset(chosen)
 
