--- a/acaciamoor/evidence/tests/test_report_filter.py
+++ b/acaciamoor/evidence/tests/test_report_filter.py
@@ -74,7 +74,14 @@
         lie = evidence.limit_unanswered(
             builders.report(load(unanswered=1 << 31))
         ).upstreams[0]
-        judge.receive(lie.plus(load(openings=4, finished=7)), times=50)
+        judge.receive(
+            load(
+                unanswered=lie.unanswered,
+                openings=lie.openings + 4,
+                finished=7,
+            ),
+            times=50,
+        )
         self.assertFalse(judge.avoided())
 
 
