--- a/acaciamoor/load/scenarios/site_placements.py
+++ b/acaciamoor/load/scenarios/site_placements.py
@@ -3,11 +3,14 @@
 import collections
 import datetime
 import functools
+import math
 import random
+import sys
 
 import msgspec
 
 from acaciamoor import directory
+from acaciamoor import evidence
 from acaciamoor import load_reports
 from acaciamoor import openings
 from acaciamoor.load.scenarios import opening_model
@@ -93,6 +96,17 @@
         for placer in self._placers:
             placer.set_warm_up(upstream_id, seconds * _SECOND, now * _SECOND)
 
+    def record_opening(self, host: int, upstream_id: str) -> None:
+        """Record that an opening packet is sent to an upstream."""
+
+    def record_timeout(self, host: int, upstream_id: str, now: float) -> None:
+        """Record that an upstream did not answer an opening packet."""
+        self.detectors[host].record_timeout(upstream_id, now * _SECOND)
+
+    def record_answer(self, host: int, upstream_id: str) -> None:
+        """Record that an upstream answered an opening packet."""
+        self.detectors[host].record_answer(upstream_id)
+
     def open_flow(self, host: int, upstream_id: str) -> None:
         """Record that a flow is open at an upstream."""
 
@@ -125,10 +139,17 @@
         )
 
     def end_request(
-        self, host: int, upstream_id: str, now: float, seconds: float
+        self,
+        host: int,
+        upstream_id: str,
+        now: float,
+        seconds: float,
+        rejected: bool = False,
     ) -> None:
         """Record that a request ends; `seconds` is 0 without an answer."""
         self.trackers[host].end_request(upstream_id, now * _SECOND)
+        if seconds or rejected:
+            self.trackers[host].record_answer(upstream_id, now * _SECOND)
         if seconds:
             self.demand_trackers[host].add_answered(
                 opening_model.SERVICE, seconds * _SECOND
@@ -201,6 +222,12 @@
             collections.defaultdict(collections.Counter)
             for _ in self.data_centres
         ]
+        # Unanswered openings and answers of each host, by upstream.
+        self._signs: list[dict[str, collections.Counter]] = [
+            collections.defaultdict(collections.Counter)
+            for _ in range(pattern.hosts)
+        ]
+        self._filters = [evidence.ReportFilter() for _ in self._signs]
         self._serial = 0
         self._entries = opening_model.upstream_entries(
             pattern.upstreams, pattern.data_centres, pattern.slots
@@ -214,9 +241,16 @@
 
     def open_flow(self, host: int, upstream_id: str) -> None:
         """Record that a flow is open at an upstream."""
-        counts = self._find_counts(host, upstream_id)
-        counts['open_flows'] += 1
-        counts['openings'] += 1
+        self._find_counts(host, upstream_id)['open_flows'] += 1
+
+    def record_opening(self, host: int, upstream_id: str) -> None:
+        """Record that an opening packet is sent to an upstream."""
+        self._find_counts(host, upstream_id)['openings'] += 1
+
+    def record_timeout(self, host: int, upstream_id: str, now: float) -> None:
+        """Record that an upstream did not answer an opening packet."""
+        super().record_timeout(host, upstream_id, now)
+        self._signs[host][upstream_id]['unanswered'] += 1
 
     def close_flow(self, host: int, upstream_id: str) -> None:
         """Record that a flow of an upstream has ended."""
@@ -230,21 +264,28 @@
         counts['started'] += 1
 
     def end_request(
-        self, host: int, upstream_id: str, now: float, seconds: float
+        self,
+        host: int,
+        upstream_id: str,
+        now: float,
+        seconds: float,
+        rejected: bool = False,
     ) -> None:
         """Record that a request ends; `seconds` is 0 without an answer."""
-        super().end_request(host, upstream_id, now, seconds)
+        super().end_request(host, upstream_id, now, seconds, rejected)
         counts = self._find_counts(host, upstream_id)
         counts['in_progress'] -= 1
         if seconds:
             counts['finished'] += 1
             counts['busy_seconds'] += seconds
-        else:
-            counts['rejected'] += 1
+        counts['rejected'] += rejected
+        if seconds or rejected:
+            self._signs[host][upstream_id]['finished'] += 1
 
     def take_reports(self, now: float) -> list[load_reports.LoadSummary]:
         """Return the sum of each data centre since the last call."""
         self._serial += 1
+        self._add_evidence(now)
         summaries = []
         for name, counts_by_id in zip(
             self.data_centres, self._counts, strict=True
@@ -270,6 +311,32 @@
                         del counts[key]
         return summaries
 
+    def _add_evidence(self, now: float) -> None:
+        """Add what each host reports of unanswered openings."""
+        for host, signs_by_id in enumerate(self._signs):
+            report = load_reports.HostReport(
+                f'host-{host}',
+                self.data_centres[host % len(self.data_centres)],
+                1,
+                self._serial,
+                REPORT_INTERVAL_S,
+                [
+                    load_reports.UpstreamLoad(
+                        upstream_id, openings=signs['unanswered'], **signs
+                    )
+                    for upstream_id, signs in signs_by_id.items()
+                ],
+            )
+            filtered = self._filters[host].apply(report, True, now * _SECOND)
+            for load in filtered.upstreams:
+                counts = self._find_counts(host, load.upstream_id)
+                signs = signs_by_id[load.upstream_id]
+                counts['unanswered'] += load.unanswered
+                # Some were sent in the interval before.
+                left_out = signs['unanswered'] - load.openings
+                counts['openings'] = max(0, counts['openings'] - left_out)
+            signs_by_id.clear()
+
     def receive_report(
         self, summary: load_reports.LoadSummary, now: float
     ) -> None:
@@ -287,6 +354,20 @@
         return self._counts[host % len(self._counts)][upstream_id]
 
 
+class AlonePlacement(SharedLoadPlacement):
+    """Baseline: the shared load, but each host finds failures alone."""
+
+    def __init__(self, pattern: site_patterns.SitePattern, seed: int) -> None:
+        alone = evidence.EvidenceSettings(
+            min_unanswered=math.inf,
+            min_mixed=sys.maxsize,
+            min_partial=math.inf,
+        )
+        super().__init__(
+            pattern, seed, openings.PlacementSettings(evidence=alone)
+        )
+
+
 class LeastSharedLoadPlacement(SharedLoadPlacement):
     """Baseline: all hosts choose the least load in the picture."""
 
@@ -317,6 +398,9 @@
     'one table for all hosts': functools.partial(
         OwnViewPlacement, shared=True
     ),
+    # What hosts do that share their load, without and with the evidence.
+    'shared load': AlonePlacement,
+    'shared evidence': SharedLoadPlacement,
 }
 # Placements on the patterns of upstreams whose capacity must be measured.
 CAPACITY_PLACEMENTS_BY_NAME = {
--- a/acaciamoor/openings/placer.py
+++ b/acaciamoor/openings/placer.py
@@ -8,6 +8,7 @@
 
 from acaciamoor import capacity as capacities
 from acaciamoor import directory
+from acaciamoor import evidence as evidences
 from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor.openings import failure_detector as detectors
@@ -38,6 +39,8 @@
         which a share of the new flows goes elsewhere.
     upload_spill_over_load : float
         The same for uploads.
+    evidence : EvidenceSettings
+        Thresholds of the evidence that hosts share.
     """
 
     remote_cost: float = 0.5
@@ -46,6 +49,7 @@
     tie_noise: float = 0.1
     spill_over_load: float = 0.6
     upload_spill_over_load: float = 0.8
+    evidence: evidences.EvidenceSettings = evidences.EvidenceSettings()
 
 
 class OpeningPlacer:
@@ -84,6 +88,8 @@
     handle_change : callable or None
         Called when the measured rate of an upstream has changed by more than
         a factor of two.
+    handle_evidence : callable or None
+        Called when hosts begin or cease to avoid an upstream together.
 
     Attributes
     ----------
@@ -103,6 +109,7 @@
         settings: PlacementSettings | None = None,
         picture: load_reports.LoadPicture | None = None,
         handle_change: shared_load.ChangeHandler | None = None,
+        handle_evidence: shared_load.EvidenceHandler | None = None,
     ) -> None:
         self._data_centre = data_centre
         self.local_hosts = 1
@@ -129,9 +136,12 @@
                 picture,
                 self.estimator,
                 failure_detector,
+                evidences.SharedEvidence(data_centre, settings.evidence),
+                load_tracker,
                 self._capacity_factor,
                 random_source,
                 handle_change,
+                handle_evidence,
             )
 
     @property
@@ -141,6 +151,15 @@
         """Measured capacity of the upstreams in the picture."""
         return {} if self._shared is None else self._shared.capacities_by_id
 
+    def find_verdicts(
+        self, now: datetime.timedelta
+    ) -> collections.abc.Mapping[model.UpstreamId, evidences.Verdict]:
+        """Return what shared evidence says of upstreams that fail."""
+        shared = self._shared
+        if shared is None or not shared.is_fresh(now):
+            return {}
+        return shared.evidence.verdicts_by_id
+
     def set_warm_up(
         self,
         upstream_id: model.UpstreamId,
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -12,12 +12,15 @@
 import itertools
 import math
 import random
+import statistics
 
 from acaciamoor import capacity as capacities
 from acaciamoor import directory
+from acaciamoor import evidence as evidences
 from acaciamoor import load_reports
 from acaciamoor import model
 from acaciamoor.openings import failure_detector as detectors
+from acaciamoor.openings import load as trackers
 
 # Time constant of the averages of levels and demands. A snapshot of the
 # requests in progress holds for about 50 ms, less than its age; averages over
@@ -30,6 +33,9 @@
 # Draws from a pool before all candidates are compared. Where half of them are
 # suspected or were tried, six draws find two others with 0.89.
 _MAX_DRAWS = 6
+# Time for which an answer shows that an upstream is not silent, when an
+# opening is repeated. Beyond it all upstreams in use have answered.
+_ANSWER_MEMORY = datetime.timedelta(milliseconds=500)
 # Share of the interval that must pass before the picture is taken in again.
 _MIN_INTERVAL_SHARE = 0.75
 # Changes of the rate by more than this are reported; see docs/parts.md.
@@ -45,6 +51,7 @@
 ChangeHandler = collections.abc.Callable[
     [model.UpstreamId, capacities.Capacity, capacities.Capacity], None
 ]
+EvidenceHandler = collections.abc.Callable[[evidences.Change], None]
 CapacityFactor = collections.abc.Callable[
     [model.UpstreamId, datetime.timedelta], float
 ]
@@ -112,9 +119,11 @@
     """What is computed for a service when the picture changes."""
 
     __slots__ = (
+        'avoided',
         'built_at',
         'candidates',
         'demands',
+        'doubtful',
         'limits',
         'loads',
         'local',
@@ -125,6 +134,7 @@
         'remote',
         'revision',
         'shares_by_load',
+        'trial_share',
     )
 
     def __init__(
@@ -152,6 +162,11 @@
         # Requests a second by data centre of the callers.
         self.demands: dict[str, float] = {}
         self.shares_by_load: dict[float, tuple[float, _Pool]] = {}
+        # Upstreams that shared evidence speaks against, those that failed a
+        # short time ago, and the share of the new flows that test the former.
+        self.avoided: frozenset[model.UpstreamId] = frozenset()
+        self.doubtful: frozenset[model.UpstreamId] = frozenset()
+        self.trial_share = 0.0
 
 
 class SharedLoadChoice:
@@ -167,6 +182,10 @@
         Receives the shared load of all candidates.
     failure_detector : FailureDetector
         Tells which upstreams are suspected.
+    evidence : SharedEvidence
+        Tells which upstreams all hosts avoid.
+    load_tracker : LoadTracker
+        Tells which upstreams have answered this host.
     get_capacity_factor : callable
         Returns the share of its capacity that an unmeasured upstream has at
         a time; below 1 in warm-up.
@@ -175,6 +194,8 @@
     handle_change : callable or None
         Called when the measured rate of an upstream has changed by more than
         a factor of two.
+    handle_evidence : callable or None
+        Called when hosts begin or cease to avoid an upstream together.
     """
 
     def __init__(
@@ -183,9 +204,12 @@
         picture: load_reports.LoadPicture,
         estimator: capacities.CapacityEstimator,
         failure_detector: detectors.FailureDetector,
+        evidence: evidences.SharedEvidence,
+        load_tracker: trackers.LoadTracker,
         get_capacity_factor: CapacityFactor,
         random_source: random.Random,
         handle_change: ChangeHandler | None = None,
+        handle_evidence: EvidenceHandler | None = None,
     ) -> None:
         self._data_centre = data_centre
         self._picture = picture
@@ -194,6 +218,9 @@
         self._get_capacity_factor = get_capacity_factor
         self._random = random_source
         self._handle_change = handle_change
+        self._handle_evidence = handle_evidence
+        self.evidence = evidence
+        self._load_tracker = load_tracker
         self._tables_by_service: dict[str, _Table] = {}
         self._levels_by_id: dict[model.UpstreamId, _Average] = {}
         self._demands_by_key: dict[tuple[str, str], _Average] = {}
@@ -238,6 +265,7 @@
         self._levels_by_id.pop(upstream_id, None)
         self.capacities_by_id.pop(upstream_id, None)
         self._estimator.forget(upstream_id)
+        self.evidence.forget(upstream_id)
 
     def choose(
         self,
@@ -270,20 +298,47 @@
         if candidates != table.candidates:
             allowed = {entry.upstream_id: entry for entry in candidates}
 
+        def has_room(number: int) -> bool:
+            upstream_id = table.candidates[number].upstream_id
+            return (allowed is None or upstream_id in allowed) and not (
+                max_flows
+                and table.open_flows[number] + self._opened_by_id[upstream_id]
+                >= max_flows
+            )
+
         def accepts(number: int) -> bool:
             upstream_id = table.candidates[number].upstream_id
             return (
-                (allowed is None or upstream_id in allowed)
-                and upstream_id not in excluded
-                and not self._failure_detector.is_suspected(upstream_id, now)
-                and not (
-                    max_flows
-                    and table.open_flows[number]
-                    + self._opened_by_id[upstream_id]
-                    >= max_flows
-                )
+                upstream_id not in excluded
+                and has_room(number)
+                and not self._is_avoided(table, upstream_id, now)
             )
 
+        def accepts_proven(number: int) -> bool:
+            upstream_id = table.candidates[number].upstream_id
+            return upstream_id not in table.doubtful and accepts(number)
+
+        chosen = None
+        if excluded:
+            chosen = self._find_answering(table, accepts_proven, now)
+            if chosen is None:
+                chosen = self._draw_best(table, costs, accepts_proven)
+        elif table.avoided and self._random.random() < table.trial_share:
+            chosen = self._draw_trial(table, has_room)
+        if chosen is None:
+            chosen = self._draw_best(table, costs, accepts)
+        if chosen is None:
+            return None
+        entry = table.candidates[chosen]
+        return entry if allowed is None else allowed[entry.upstream_id]
+
+    def _draw_best(
+        self,
+        table: _Table,
+        costs: SharedCosts,
+        accepts: collections.abc.Callable[[int], bool],
+    ) -> int | None:
+        """Return the least loaded of some upstreams, drawn by their rates."""
         share, distant = self._spill_over(table, costs.spill_over_load)
         elsewhere = share > 0.0 and self._random.random() < share
         if elsewhere:
@@ -297,12 +352,41 @@
                 for number in range(len(table.candidates))
                 if accepts(number)
             ]
-        if not drawn:
-            return None
-        chosen = table.candidates[
-            min(drawn, key=lambda number: self._rank(table, number, costs))
-        ]
-        return chosen if allowed is None else allowed[chosen.upstream_id]
+        return min(
+            drawn,
+            key=lambda number: self._rank(table, number, costs),
+            default=None,
+        )
+
+    def _find_answering(
+        self,
+        table: _Table,
+        accepts: collections.abc.Callable[[int], bool],
+        now: datetime.timedelta,
+    ) -> int | None:
+        """Return the upstream that answered this host last.
+
+        When several upstreams fall silent together, it is the one that most
+        likely answers.
+        """
+        for upstream_id in self._load_tracker.list_answered(
+            now - _ANSWER_MEMORY
+        ):
+            number = table.numbers_by_id.get(upstream_id)
+            if number is not None and accepts(number):
+                return number
+        return None
+
+    def _is_avoided(
+        self,
+        table: _Table,
+        upstream_id: model.UpstreamId,
+        now: datetime.timedelta,
+    ) -> bool:
+        return (
+            upstream_id in table.avoided
+            or self._failure_detector.is_suspected(upstream_id, now)
+        )
 
     def _draw(
         self,
@@ -358,6 +442,7 @@
         before, self._updated_at = self._updated_at, now
         self._revision = picture.own_revision
         self._discard_old_openings(now)
+        self._update_evidence(now)
         interval = picture.interval / _SECOND
         loads_by_id = picture.loads(now)
         decay = _decay(before, now)
@@ -367,6 +452,8 @@
         for entry in entries:
             upstream_id = entry.upstream_id
             services_by_id[upstream_id] = entry.service
+            if not self.evidence.is_measurable(upstream_id):
+                continue
             load = loads_by_id.get(upstream_id, _IDLE)
             level = load.in_progress
             update_estimate(
@@ -411,12 +498,13 @@
             ):
                 return table
         table = _Table(list(candidates), self._revision, now)
-        self._fill(table, now)
         table.demands = {
             data_centre: average.value
             for (name, data_centre), average in self._demands_by_key.items()
             if name == service
         }
+        self._select_avoided(table, now)
+        self._fill(table, now)
         self._tables_by_service[service] = table
         return table
 
@@ -456,13 +544,78 @@
             # The draw follows what changes slowly. In proportion to free
             # room, all hosts go where a summary 0.3 s ago showed most of it.
             weight = rate * min(1.0, limit / max(1, entry.upstream.slots))
-            if self._failure_detector.is_suspected(upstream_id, now):
+            if self._is_avoided(table, upstream_id, now):
                 weight = 0.0
             is_local = entry.upstream.data_centre == self._data_centre
             (local if is_local else remote)[number] = weight
+        self._raise_hidden_loads(table)
         table.local = _make_pool(table, local)
         table.remote = _make_pool(table, remote)
 
+    def _update_evidence(self, now: datetime.timedelta) -> None:
+        """Take in the evidence; a recovery clears what this host suspects."""
+        for change in self.evidence.update(self._picture.summaries(now), now):
+            if change.before is evidences.Verdict.SILENT:
+                self._failure_detector.record_answer(change.upstream_id)
+            if self._handle_evidence is not None:
+                self._handle_evidence(change)
+
+    def _select_avoided(self, table: _Table, now: datetime.timedelta) -> None:
+        table.doubtful = self.evidence.list_doubtful(now)
+        if not self.evidence.verdicts_by_id:
+            return
+        rate = 0.0
+        for entry in table.candidates:
+            found = self._estimator.estimate(entry.upstream_id, now)
+            if found.service_time:
+                rate += found.rate
+        demand = sum(table.demands.values())
+        table.avoided = self.evidence.select_avoided(
+            table.candidates, demand / rate if rate else None
+        )
+        summary = self._picture.summaries(now).get(self._data_centre)
+        if table.avoided and summary is not None:
+            table.trial_share = self.evidence.trial_share(
+                table.avoided,
+                sum(
+                    load.openings
+                    for load in summary.upstreams
+                    if load.upstream_id in table.numbers_by_id
+                ),
+            )
+
+    def _draw_trial(
+        self,
+        table: _Table,
+        has_room: collections.abc.Callable[[int], bool],
+    ) -> int | None:
+        """Return an avoided upstream that a flow of this host tests."""
+        upstream_id = self._random.choice(sorted(table.avoided))
+        number = table.numbers_by_id[upstream_id]
+        return number if has_room(number) else None
+
+    def _raise_hidden_loads(self, table: _Table) -> None:
+        """Let upstreams that failed a short time ago look no idler.
+
+        They have lost their flows and would win each comparison; if they
+        fail again, most new flows would be there.
+        """
+        doubtful = table.doubtful
+        verdicts = self.evidence.verdicts_by_id
+        loads = [
+            table.loads[number] / table.limits[number]
+            for number, entry in enumerate(table.candidates)
+            if entry.upstream_id not in doubtful
+        ]
+        if not doubtful or not loads:
+            return
+        typical = statistics.median(loads)
+        for number, entry in enumerate(table.candidates):
+            if verdicts.get(entry.upstream_id) is evidences.Verdict.SILENT:
+                table.loads[number] = max(
+                    table.loads[number], typical * table.limits[number]
+                )
+
     def _discard_old_openings(self, now: datetime.timedelta) -> None:
         age = self._picture.age(now)
         if age is None:
@@ -539,9 +692,7 @@
     ) -> tuple[float, _Pool]:
         rates: collections.Counter[str] = collections.Counter()
         for entry, rate in zip(table.candidates, table.rates, strict=True):
-            if not self._failure_detector.is_suspected(
-                entry.upstream_id, table.built_at
-            ):
+            if not self._is_avoided(table, entry.upstream_id, table.built_at):
                 rates[entry.upstream.data_centre] += rate
         own = rates[self._data_centre]
         if not own or not rates.total():
