--- a/acaciamoor/membership/probe_protocol.py
+++ b/acaciamoor/membership/probe_protocol.py
@@ -280,11 +280,9 @@
         change_count = self._members.change_count
         self._apply_updates(ack.page, disseminate=False)
         self._next_page_after = ack.page_end
-        if (
-            2 * (self._members.change_count - change_count)
-            >= member_list.PAGE_SIZE
-        ):
-            # A new host requests the next page in the next tick.
+        if self._members.change_count != change_count:
+            # A new host requests the next page in the next tick, as it is not
+            # fresh before it knows all members.
             self._next_probe_at = self._clock.monotonic()
 
 
