Refuse demands with more refused than opened flows; keep a picture from late sums

A demand with more refused flows than openings passed the checks of a report. One host could so make the admitted openings of a service negative, and the least important priority lost the floor of its share at all hosts.

--- a/acaciamoor/load_reports/picture.py
+++ b/acaciamoor/load_reports/picture.py
@@ -356,6 +356,10 @@
             summary.incarnation != before.incarnation
             or summary.serial > before.serial
         )
+    taken_at = now - datetime.timedelta(seconds=summary.age)
+    if taken_at + MAX_AGE <= held.received_at:
+        # It was on the way for so long that it counts for nothing.
+        return False
     return (
         summary.hosts > before.hosts
         or now - held.received_at >= REPLACEMENT_SILENCE
--- a/acaciamoor/load_reports/report.py
+++ b/acaciamoor/load_reports/report.py
@@ -104,6 +104,13 @@
     openings: _Count = 0
     refused: _Count = 0
 
+    def __post_init__(self) -> None:
+        # Receivers take the difference for the openings that were admitted.
+        if self.refused > self.openings:
+            raise ValueError(
+                f'{self.refused} of {self.openings} openings were refused'
+            )
+
 
 class HostReport(msgspec.Struct, frozen=True, array_like=True):
     """What passed one host in an interval.
--- a/acaciamoor/load_reports/tests/test_reports.py
+++ b/acaciamoor/load_reports/tests/test_reports.py
@@ -40,6 +40,21 @@
             ):
                 decoder.decode(encoded)
 
+    def test_more_refused_than_opened_flows_are_refused(self):
+        """Guards against negative openings.
+
+        One such report made all hosts refuse the least important priority
+        without the floor that it keeps.
+        """
+        demand = ['desk', 2, 0, 1]
+        for item in (report('h-1'), summary('h-1')):
+            body = list(msgspec.to_builtins(item))
+            body[item.__struct_fields__.index('demands')] = [demand]
+            with self.assertRaises(msgspec.ValidationError):
+                msgspec.msgpack.decode(
+                    msgspec.msgpack.encode(body), type=type(item)
+                )
+
     def test_report_of_too_many_upstreams_is_refused(self):
         """Guards against reports that take the memory of their receiver."""
         with self.assertRaises(ValueError):
@@ -154,6 +169,12 @@
         self.assertFalse(self.record('h-2', 1, load(), hosts=15))
         self.assertTrue(self.record('h-3', 1, load(), hosts=61))
 
+    def test_late_sum_of_more_hosts_replaces_no_fresh_one(self):
+        """Guards against a picture that grows old over a slow path."""
+        self.record('h-2', 1, load(), hosts=74, now=3 * SECOND)
+        self.assertFalse(self.record('h-1', 1, hosts=75, now=1.4 * SECOND))
+        self.assertTrue(self.picture.is_fresh(3 * SECOND))
+
     def test_sum_of_fewer_hosts_follows_a_silent_sender(self):
         """Guards against a picture that grows old though a host sums."""
         self.record('h-1', 1, hosts=75)
