Drop shares of other priorities and of earlier overloads

After a change of the routes, the shares of the replaced priorities stayed in force until the next picture: the priority that had become the most important one was refused with the share it had as the last (0.875 in the test). They are computed anew at the next opening now.

A host computes shares at openings only. After a pause, the time since the last overload counted as time in which shares may fall, and they fell at once (to 0.31 in the test). After 5 s without openings an overload is a new one. A bound of 1 s was ruled out: hosts with few openings would never let shares fall. Both tests fail without the change.

--- a/acaciamoor/admission/controller.py
+++ b/acaciamoor/admission/controller.py
@@ -10,6 +10,8 @@
 import datetime
 import random
 
+import msgspec
+
 from acaciamoor import directory
 from acaciamoor import load_reports
 from acaciamoor.admission import caller_counts
@@ -18,6 +20,9 @@
 from acaciamoor.admission import settings as admission_settings
 from acaciamoor.admission import shares
 
+# Revision of no picture: evidence that is computed anew at the next opening.
+_NO_REVISION = -1
+
 ListUpstreams = collections.abc.Callable[
     [str, datetime.timedelta],
     collections.abc.Sequence[directory.UpstreamEntry],
@@ -88,11 +93,18 @@
         for route in routes:
             for service in route.weights_by_service:
                 found[service].add(route.priority)
+        before = self._priorities_by_service
         self._priorities_by_service = {
             service: tuple(sorted(priorities))
             for service, priorities in found.items()
             if len(priorities) > 1
         }
+        # Shares hold for the priorities by which they were computed.
+        for service, evidence in self._evidence_by_service.items():
+            if before[service] != self._priorities_by_service.get(service):
+                self._evidence_by_service[service] = msgspec.structs.replace(
+                    evidence, revision=_NO_REVISION
+                )
         known = self._priorities_by_service.keys()
         for state_by_service in (
             self._samples_by_service,
@@ -248,6 +260,12 @@
         settings = self._settings
         interval_s = self._picture.interval.total_seconds()
         before = self._evidence_by_service.get(service)
+        if (
+            before is not None
+            and sample.taken_at - before.computed_at > settings.max_gap
+        ):
+            # It may be from an earlier overload.
+            before = None
         shares_by_priority = shares.divide(
             self._priorities_by_service[service],
             sample,
--- a/acaciamoor/admission/settings.py
+++ b/acaciamoor/admission/settings.py
@@ -46,6 +46,10 @@
         Largest fall of a share, per second. Callers return twice within a
         second or so; in a crest that is over by then, most of them must be
         admitted at one of their attempts.
+    max_gap : datetime.timedelta
+        Time without openings at a host after which an overload is a new one.
+        Shares are computed at openings only; with less than one of them in
+        this time, a host has next to no part in the load of the service.
     fast_rejected : float
         Share of requests that upstreams reject from which shares fall at
         once: callers lose then whoever turns them away.
@@ -74,6 +78,7 @@
     window: datetime.timedelta = datetime.timedelta(seconds=1)
     min_share: float = 0.01
     max_fall: float = 0.6
+    max_gap: datetime.timedelta = datetime.timedelta(seconds=5)
     fast_rejected: float = 0.1
     refresh_interval: datetime.timedelta = datetime.timedelta(milliseconds=100)
     caller_window: datetime.timedelta = datetime.timedelta(seconds=5)
--- a/acaciamoor/admission/tests/test_controller.py
+++ b/acaciamoor/admission/tests/test_controller.py
@@ -176,6 +176,32 @@
         site.controller.update_routes(builders.route_table(2, version=2))
         self.assertEqual(1.0, site.share(LESS_IMPORTANT, 1.2 * SECOND))
 
+    def test_priority_that_becomes_the_first_is_served_at_once(self):
+        """Guards against shares of the priorities that were in force before.
+
+        They stayed until the next picture, also for the priority that is the
+        most important one by now.
+        """
+        site = overloaded_site()
+        self.assertLess(site.share(LESS_IMPORTANT, 1.1 * SECOND), 1.0)
+        site.controller.update_routes(
+            builders.route_table(LESS_IMPORTANT, 3, version=2)
+        )
+        self.assertEqual(1.0, site.share(LESS_IMPORTANT, 1.1 * SECOND))
+
+    def test_shares_of_an_earlier_overload_do_not_count(self):
+        """Guards against shares that fall at once after a quiet minute.
+
+        A host without openings computes no shares meanwhile, and took the
+        minute for the time since which they may fall.
+        """
+        counts = {'open_flows': 40, 'started': 30, 'finished': 12}
+        site = builders.Site()
+        for at in (1, 60):
+            site.report(at * SECOND, 10, DEMANDS, **counts)
+            share = site.share(LESS_IMPORTANT, (at + 0.1) * SECOND)
+            self.assertGreater(share, 0.85)
+
     def test_hosts_agree_on_one_picture(self):
         """Guards against shares that depend on the past of a host."""
         old, new = builders.Site(), builders.Site(seed=2)
