Report to the next relay while the first is not connected; ignore late sums

A report was dropped while the connection to the first relay was about to be opened. After each period in which a relay that is gone counts as unreachable, this takes up to 0.7 s (0.2 s to the next check, 0.5 s to connect), so that a host could miss in the sum, which forgets reports after 1 s. The report goes to the next relay that takes it. It may count at both for up to 1 s, as at any change of relay.

A sum whose clock made it seem more than 2^31 s late raised a ValueError that the connection does not handle.

--- a/acaciamoor/forwarder/shell/load_exchange.py
+++ b/acaciamoor/forwarder/shell/load_exchange.py
@@ -183,15 +183,18 @@
         except msgspec.MsgspecError as error:
             self._refuse('summary', host_id, str(error))
             return []
-        news = [
-            summary
-            for summary in summaries
-            if self._picture.record(summary, sent_at)
-        ]
+        news = []
+        # Sums that were on the way for longer count for nothing.
+        if self._clock.monotonic() - sent_at < load_reports.MAX_AGE:
+            news = [
+                summary
+                for summary in summaries
+                if self._picture.record(summary, sent_at)
+            ]
         if news:
             self.messages.add(type='summary', outcome='received')
         else:
-            # A second copy, which came another way.
+            # A second copy, which came another way, or a late sum.
             self.messages.add(type='summary', outcome='ignored')
         return news
 
@@ -304,22 +307,20 @@
         """Send the report of this host, and of those that report to it."""
         # The second host of a data centre also listens to the relay of the
         # site. Only sums cross between data centres.
-        relay = next(
-            (
-                peer
-                for peer in self._peers.relays(now)
-                if peer.data_centre == self._own.data_centre
-            ),
-            None,
-        )
-        if relay is not None:
+        relays = [
+            peer
+            for peer in self._peers.relays(now)
+            if peer.data_centre == self._own.data_centre
+        ]
+        if relays:
             report = load_reports.limit_report(
                 self._aggregator.combine(now), self._pace
             )
             message = replicas.Report(
                 msgspec.Raw(_ENCODER.encode(report)), now / _SECOND
             )
-            sent = self._send_to_relay(relay, message)
+            # The connection to the first one may be about to be opened.
+            sent = any(self._send_to_relay(relay, message) for relay in relays)
             self._count('report', 'sent' if sent else 'left_out', 1)
 
     def _send_up(
--- a/acaciamoor/forwarder/tests/test_load_reports.py
+++ b/acaciamoor/forwarder/tests/test_load_reports.py
@@ -224,6 +224,7 @@
         self.picture = load_reports.LoadPicture('kgn-a')
         self.peers = replica.PeerList(own)
         self.sent_up = []
+        self.lost_ids = set()
         self.is_current = True
         self.collector = load_reports.LoadCollector('h-0', 'kgn-a', 1)
         self.exchange = load_exchange.LoadExchange(
@@ -232,11 +233,18 @@
             self.picture,
             self.peers,
             self.server,
-            lambda *sent: not self.sent_up.append(sent),
+            self.send_up,
             self.clock,
             lambda: self.is_current,
         )
 
+    def send_up(self, relay, message):
+        """Send a message, unless the connection to the relay is lost."""
+        if relay.host_id in self.lost_ids:
+            return False
+        self.sent_up.append((relay, message))
+        return True
+
 
 class RefusalTest(ExchangeTestCase):
     """What a host refuses of its listeners."""
@@ -275,6 +283,32 @@
             self.assertEqual('refused', self.receive(builders.report('h-2')))
 
 
+class ReportTest(ExchangeTestCase):
+    """Where a host sends its reports."""
+
+    def test_next_relay_gets_the_report_while_the_first_is_not_connected(self):
+        """Guards against loads that are lost while a host connects again.
+
+        Sums lacked the host, which took up to 0.7 s each time that it tried
+        a relay that was gone.
+        """
+        self.peers.add(
+            replica.Peer(
+                f'r-{number}',
+                'kgn-a',
+                model.Address('127.0.0.1', 2 + number),
+                100.0,
+            )
+            for number in range(7)
+        )
+        relays = self.peers.relays(self.clock.monotonic())
+        self.lost_ids = {relays[0].host_id}
+        for _ in range(2):
+            self.exchange.exchange()
+            self.clock.advance(SECOND / 5)
+        self.assertEqual([relays[1]], [relay for relay, _ in self.sent_up])
+
+
 class SmallDataCentreTest(ExchangeTestCase):
     """A data centre that has enough hosts for reports only later."""
 
@@ -371,6 +405,18 @@
         self.assertEqual('kgn-c', relay.data_centre)
         self.assertIn('kgn-b', {item.data_centre for item in decode(message)})
 
+    def test_sum_that_took_too_long_is_ignored(self):
+        """Guards against an age out of range that ends the connection."""
+        self.clock.advance(SECOND)
+        body = msgspec.msgpack.encode([builders.summary(data_centre='kgn-c')])
+        message = replica.Summary(msgspec.Raw(body), 1.0)
+        sent_at = self.clock.monotonic() - 3e9 * SECOND
+        self.exchange.receive_from_relay(message, 'h-9', sent_at)
+        self.assertEqual(
+            1,
+            self.exchange.messages.value(type='summary', outcome='ignored'),
+        )
+
     def test_repeated_sum_is_not_passed_on(self):
         """Guards against messages that go round between hosts."""
         self.exchange.exchange()
--- a/acaciamoor/load_reports/__init__.py
+++ b/acaciamoor/load_reports/__init__.py
@@ -8,6 +8,7 @@
 from acaciamoor.load_reports.pace import Pace
 from acaciamoor.load_reports.picture import DemandRate
 from acaciamoor.load_reports.picture import LoadPicture
+from acaciamoor.load_reports.picture import MAX_AGE
 from acaciamoor.load_reports.picture import TotalLoad
 from acaciamoor.load_reports.report import HostReport
 from acaciamoor.load_reports.report import LoadSummary
@@ -15,6 +16,7 @@
 from acaciamoor.load_reports.report import UpstreamLoad
 
 __all__ = [
+    'MAX_AGE',
     'MIN_HOSTS',
     'DemandRate',
     'HostReport',
