--- a/acaciamoor/forwarder/core.py
+++ b/acaciamoor/forwarder/core.py
@@ -429,15 +429,15 @@
         self._pending.pop(opening.key)
         service, priority = opening.service, route.priority
         self.load_collector.add_demand(service, priority, refused=True)
-        evidence = self.admission.evidence_of(service)
+        basis = self.admission.evidence_of(service)
         return effects.Refusal(
             opening.key,
             effects.RefusalReason.OVERLOAD,
             effects.Overload(
                 service,
                 priority,
-                evidence,
-                now - evidence.computed_at,
+                basis,
+                now - basis.computed_at,
                 self.admission.is_behind_lower(service, priority, now),
             ),
         )
