Split the choice by shared load into modules

shared_load.py had 771 lines: weighted draws, averages, own openings, the intake of the picture, the table of a service, the spill-over and the choice. The code is moved, not changed. The test of the averages reads them where they are kept now.

--- a/acaciamoor/openings/placer.py
+++ b/acaciamoor/openings/placer.py
@@ -13,6 +13,7 @@
 from acaciamoor import model
 from acaciamoor.openings import failure_detector as detectors
 from acaciamoor.openings import load as loads
+from acaciamoor.openings import picture_intake
 from acaciamoor.openings import shared_load
 
 _ZERO = datetime.timedelta(0)
@@ -108,8 +109,8 @@
         random_source: random.Random,
         settings: PlacementSettings | None = None,
         picture: load_reports.LoadPicture | None = None,
-        handle_change: shared_load.ChangeHandler | None = None,
-        handle_evidence: shared_load.EvidenceHandler | None = None,
+        handle_change: picture_intake.ChangeHandler | None = None,
+        handle_evidence: picture_intake.EvidenceHandler | None = None,
     ) -> None:
         self._data_centre = data_centre
         self.local_hosts = 1
--- a/acaciamoor/openings/tests/test_shared_load.py
+++ b/acaciamoor/openings/tests/test_shared_load.py
@@ -201,10 +201,10 @@
         shared = self.site.placer._shared
         for upstream_id, (value, _) in levels.items():
             self.assertAlmostEqual(
-                value, shared._levels_by_id[upstream_id].value
+                value, shared._averages.levels_by_id[upstream_id].value
             )
         for name, (value, _) in demands.items():
-            found = shared._demands_by_key[builders.SERVICE, name]
+            found = shared._averages.demands_by_key[builders.SERVICE, name]
             self.assertAlmostEqual(value, found.value)
 
     def test_changed_entry_is_used_at_once(self):
