Bound service times and loads that the estimator computes with

Where all answers take no measurable time, the sums decay without end: after 67 samples in the test the rate passed 1e12, and later a quotient underflows and is divided by. Such service times now count as not measured. A load of 2e15 requests in progress, which reports can claim, overflowed a power with 65,536 slots; it now fills all of them. Both tests failed before.

--- a/acaciamoor/capacity/concurrency.py
+++ b/acaciamoor/capacity/concurrency.py
@@ -22,6 +22,9 @@
 _RETENTION = datetime.timedelta(seconds=60)
 # Answers that a level needs. Their noise is considered in the comparison.
 _MIN_ANSWERS = 20.0
+# Service times below this one, in seconds, are what is left of sums that decay
+# while all answers take no measurable time. Quotients of such sums underflow.
+MIN_SERVICE_TIME = 1e-6
 # A level is beyond the knee if a request takes so many times as long there as
 # at a lower level, twice that with two slots. Without any knee it takes up to
 # 1.4 times as long in the replays, as many requests are in progress while a
@@ -58,8 +61,11 @@
     if in_progress <= 0.0:
         return 0.0
     exponent = 1.0 + 2.0 * math.log2(slots)
-    ratio = in_progress / slots
-    return in_progress / (1.0 + ratio**exponent) ** (1.0 / exponent)
+    try:
+        power = (in_progress / slots) ** exponent
+    except OverflowError:
+        return float(slots)
+    return in_progress / (1.0 + power) ** (1.0 / exponent)
 
 
 class _Level:
@@ -108,7 +114,7 @@
         # Answers in no measurable time show no knee.
         return (
             self.answers >= _MIN_ANSWERS
-            and self.busy_seconds > 0.0
+            and self.busy_seconds >= self.answers * MIN_SERVICE_TIME
             and now - self.visited_at <= _RETENTION
         )
 
--- a/acaciamoor/capacity/estimator.py
+++ b/acaciamoor/capacity/estimator.py
@@ -216,7 +216,7 @@
         if record is None:
             return Capacity(1.0, 1.0, 0.0, False)
         typical = self._typical_service_time(record.service)
-        if typical <= 0.0:
+        if typical < concurrency.MIN_SERVICE_TIME:
             return Capacity(
                 float(record.slots), float(record.slots), 0.0, False
             )
--- a/acaciamoor/capacity/tests/test_estimator.py
+++ b/acaciamoor/capacity/tests/test_estimator.py
@@ -157,6 +157,38 @@
             found = estimator.estimate('c', number * second / 5)
             self.assertGreater(found.limit, 0.0, number)
 
+    def test_load_of_decayed_service_time_is_no_fault(self):
+        """Guards against divisions by a service time that underflows.
+
+        After some busy samples all answers take no measurable time, until
+        the sums have decayed below the smallest number.
+        """
+        estimator = capacity.CapacityEstimator()
+        now = 0 * builders.SECOND
+        for number in range(3500):
+            now += builders.INTERVAL_S * builders.SECOND
+            sample = capacity.CapacitySample(0.2, 0, 40, 0.0)
+            if number < 8:
+                sample = capacity.CapacitySample(0.2, 1, 6, 0.2)
+            for upstream_id in ('a', 'b'):
+                estimator.update(upstream_id, 8, sample, now)
+            found = estimator.estimate('a', now)
+            self.assertGreater(found.limit, 0.0)
+            self.assertTrue(0.0 < found.rate < 1e12, number)
+
+    def test_huge_load_is_no_fault(self):
+        """Guards against an overflow in the busy slots.
+
+        The sum of durations may be the largest that a report holds, and the
+        interval the smallest.
+        """
+        estimator = capacity.CapacityEstimator()
+        sample = capacity.CapacitySample(1e-6, 1 << 31, 1 << 31, 2.0**31)
+        for _ in range(9):
+            estimator.update('a', 1 << 16, sample, builders.SECOND)
+        found = estimator.estimate('a', builders.SECOND)
+        self.assertTrue(0.0 < found.limit <= 1 << 16)
+
     def test_without_work_nothing_is_known(self):
         """Guards against invented figures in a service without requests."""
         self.load.run(4, ('a', 0, 1.0))
