Drop the evidence of a level that was not visited for a minute

It was ignored only until the next visit: one sample then restored a knee of any age, whether or not it had gone. In the test, 0.2 s without a slowdown, 70 s after the last visit, led to a limit of 4 instead of 8.

--- a/acaciamoor/capacity/concurrency.py
+++ b/acaciamoor/capacity/concurrency.py
@@ -100,6 +100,11 @@
         self.seconds = self.seconds * factor + seconds
         self.busy_seconds = self.busy_seconds * factor + busy_seconds
 
+    def clear(self) -> None:
+        """Forget all evidence."""
+        self.answers = self.seconds = self.busy_seconds = 0.0
+        self.doubted = None
+
     def settle(self, confirmed: bool) -> None:
         """Take the evidence that was set aside back, or drop it."""
         before = self.doubted
@@ -173,6 +178,9 @@
             Current time.
         """
         level = self._levels[self._number(in_progress)]
+        if now - level.visited_at > _RETENTION:
+            # A single visit would let all the old evidence count again.
+            level.clear()
         level.add(finished, seconds, busy_seconds)
         before = level.doubted
         if before is not None and before.busy_seconds > 0.0:
--- a/acaciamoor/capacity/tests/test_estimator.py
+++ b/acaciamoor/capacity/tests/test_estimator.py
@@ -189,6 +189,15 @@
         found = estimator.estimate('a', builders.SECOND)
         self.assertTrue(0.0 < found.limit <= 1 << 16)
 
+    def test_old_evidence_of_a_level_does_not_return(self):
+        """Guards against a knee that a single visit after minutes restores."""
+        for _ in range(6):
+            self.load.run(1, ('a', 3, 0.03), slots=8)
+            self.load.run(1, ('a', 6, 0.12), slots=8)
+        self.load.run(70, ('a', 3, 0.03), slots=8)
+        self.load.run(0.2, ('a', 6, 0.03), slots=8)
+        self.assertEqual(8.0, self.load.estimate('a').limit)
+
     def test_without_work_nothing_is_known(self):
         """Guards against invented figures in a service without requests."""
         self.load.run(4, ('a', 0, 1.0))
