Measure an upstream anew when its service changes

The record kept the first service of an upstream: it was compared with the typical one of a service that it had left, whose cached service time no update cleared, and the speed of other requests counted for the new ones.

--- a/acaciamoor/capacity/estimator.py
+++ b/acaciamoor/capacity/estimator.py
@@ -170,7 +170,13 @@
         """
         slots = max(1, slots)
         record = self._records_by_id.get(upstream_id)
-        if record is None or record.slots != slots:
+        if (
+            record is None
+            or record.slots != slots
+            or record.service != service
+        ):
+            # Requests of another service take another time.
+            self.forget(upstream_id)
             record = _Record(slots, service, now)
             self._records_by_id[upstream_id] = record
         self._typical_by_service.pop(service, None)
--- a/acaciamoor/capacity/tests/test_estimator.py
+++ b/acaciamoor/capacity/tests/test_estimator.py
@@ -198,6 +198,27 @@
         self.load.run(0.2, ('a', 6, 0.03), slots=8)
         self.assertEqual(8.0, self.load.estimate('a').limit)
 
+    def test_upstream_of_another_service_is_measured_anew(self):
+        """Guards against the speed of requests that no longer come."""
+        estimator = capacity.CapacityEstimator()
+        slow = capacity.CapacitySample(0.2, 1, 2, 0.2)
+        fast = capacity.CapacitySample(0.2, 1, 20, 0.2)
+        now = 0 * builders.SECOND
+        for service, own in (('old', slow), ('new', fast)):
+            for _ in range(20):
+                now += builders.INTERVAL_S * builders.SECOND
+                estimator.update('a', 2, own, now, service)
+                estimator.update('b', 2, slow, now, 'old')
+                estimator.update('c', 2, fast, now, 'new')
+            found = estimator.estimate('a', now)
+            other = 'b' if service == 'old' else 'c'
+            expected = estimator.estimate(other, now)
+            self.assertAlmostEqual(1.0, found.rate / expected.rate, delta=0.1)
+            self.assertEqual(2.0, found.limit)
+        estimator.update('a', 2, slow, now, 'old')
+        self.assertFalse(estimator.estimate('d', now).known)
+        self.assertFalse(estimator.estimate('a', now).known)
+
     def test_without_work_nothing_is_known(self):
         """Guards against invented figures in a service without requests."""
         self.load.run(4, ('a', 0, 1.0))
