--- a/acaciamoor/capacity/concurrency.py
+++ b/acaciamoor/capacity/concurrency.py
@@ -22,6 +22,9 @@
 _RETENTION = datetime.timedelta(seconds=60)
 # Answers that a level needs. Their noise is considered in the comparison.
 _MIN_ANSWERS = 20.0
+# Service times below this one, in seconds, are what is left of sums that decay
+# while all answers take no measurable time. Quotients of such sums underflow.
+MIN_SERVICE_TIME = 1e-6
 # A level is beyond the knee if a request takes so many times as long there as
 # at a lower level, twice that with two slots. Without any knee it takes up to
 # 1.4 times as long in the replays, as many requests are in progress while a
@@ -58,8 +61,11 @@
     if in_progress <= 0.0:
         return 0.0
     exponent = 1.0 + 2.0 * math.log2(slots)
-    ratio = in_progress / slots
-    return in_progress / (1.0 + ratio**exponent) ** (1.0 / exponent)
+    try:
+        power = (in_progress / slots) ** exponent
+    except OverflowError:
+        return float(slots)
+    return in_progress / (1.0 + power) ** (1.0 / exponent)
 
 
 class _Level:
@@ -94,6 +100,11 @@
         self.seconds = self.seconds * factor + seconds
         self.busy_seconds = self.busy_seconds * factor + busy_seconds
 
+    def clear(self) -> None:
+        """Forget all evidence."""
+        self.answers = self.seconds = self.busy_seconds = 0.0
+        self.doubted = None
+
     def settle(self, confirmed: bool) -> None:
         """Take the evidence that was set aside back, or drop it."""
         before = self.doubted
@@ -108,7 +119,7 @@
         # Answers in no measurable time show no knee.
         return (
             self.answers >= _MIN_ANSWERS
-            and self.busy_seconds > 0.0
+            and self.busy_seconds >= self.answers * MIN_SERVICE_TIME
             and now - self.visited_at <= _RETENTION
         )
 
@@ -167,6 +178,9 @@
             Current time.
         """
         level = self._levels[self._number(in_progress)]
+        if now - level.visited_at > _RETENTION:
+            # A single visit would let all the old evidence count again.
+            level.clear()
         level.add(finished, seconds, busy_seconds)
         before = level.doubted
         if before is not None and before.busy_seconds > 0.0:
@@ -179,6 +193,28 @@
         level.visited_at = now
         self._changed = True
 
+    def is_slow(
+        self, in_progress: float, service_time: float, now: datetime.timedelta
+    ) -> bool:
+        """Return whether an upstream beyond its knee is slow besides.
+
+        Parameters
+        ----------
+        in_progress : float
+            Mean number of requests in progress.
+        service_time : float
+            Measured service time, without the usual slowdown there.
+        now : datetime.timedelta
+            Current time.
+        """
+        if self.slowdown(in_progress, now) <= 1.0 or self._best is None:
+            return False
+        # The slowdown of a level that was not known is still to be measured.
+        if not self._levels[self._number(in_progress)].is_known(now):
+            return False
+        knee, rate = self._best
+        return service_time * rate > _CONFIRMED_RATIO * knee
+
     def doubt_lower(self, in_progress: float) -> None:
         """Doubt what is known of lower levels, as the upstream has slowed.
 
--- a/acaciamoor/capacity/estimator.py
+++ b/acaciamoor/capacity/estimator.py
@@ -170,7 +170,13 @@
         """
         slots = max(1, slots)
         record = self._records_by_id.get(upstream_id)
-        if record is None or record.slots != slots:
+        if (
+            record is None
+            or record.slots != slots
+            or record.service != service
+        ):
+            # Requests of another service take another time.
+            self.forget(upstream_id)
             record = _Record(slots, service, now)
             self._records_by_id[upstream_id] = record
         self._typical_by_service.pop(service, None)
@@ -194,7 +200,13 @@
         record.answers = record.answers * decay + sample.finished
         record.seconds = record.seconds * decay + usual_seconds
         record.recent.append((sample.finished, usual_seconds))
-        if in_progress > 0.0 or sample.finished:
+        # Open flows keep a slow upstream beyond its knee. If that counted as a
+        # larger slowdown there, it would pass for a fast one after 7 s.
+        if (
+            in_progress > 0.0 or sample.finished
+        ) and not record.profile.is_slow(
+            in_progress, record.seconds / max(1.0, record.answers), now
+        ):
             record.profile.add(
                 in_progress,
                 sample.finished,
@@ -216,7 +228,7 @@
         if record is None:
             return Capacity(1.0, 1.0, 0.0, False)
         typical = self._typical_service_time(record.service)
-        if typical <= 0.0:
+        if typical < concurrency.MIN_SERVICE_TIME:
             return Capacity(
                 float(record.slots), float(record.slots), 0.0, False
             )
--- a/acaciamoor/capacity/tests/test_estimator.py
+++ b/acaciamoor/capacity/tests/test_estimator.py
@@ -157,6 +157,90 @@
             found = estimator.estimate('c', number * second / 5)
             self.assertGreater(found.limit, 0.0, number)
 
+    def test_load_of_decayed_service_time_is_no_fault(self):
+        """Guards against divisions by a service time that underflows.
+
+        After some busy samples all answers take no measurable time, until
+        the sums have decayed below the smallest number.
+        """
+        estimator = capacity.CapacityEstimator()
+        now = 0 * builders.SECOND
+        for number in range(3500):
+            now += builders.INTERVAL_S * builders.SECOND
+            sample = capacity.CapacitySample(0.2, 0, 40, 0.0)
+            if number < 8:
+                sample = capacity.CapacitySample(0.2, 1, 6, 0.2)
+            for upstream_id in ('a', 'b'):
+                estimator.update(upstream_id, 8, sample, now)
+            found = estimator.estimate('a', now)
+            self.assertGreater(found.limit, 0.0)
+            self.assertTrue(0.0 < found.rate < 1e12, number)
+
+    def test_huge_load_is_no_fault(self):
+        """Guards against an overflow in the busy slots.
+
+        The sum of durations may be the largest that a report holds, and the
+        interval the smallest.
+        """
+        estimator = capacity.CapacityEstimator()
+        sample = capacity.CapacitySample(1e-6, 1 << 31, 1 << 31, 2.0**31)
+        for _ in range(9):
+            estimator.update('a', 1 << 16, sample, builders.SECOND)
+        found = estimator.estimate('a', builders.SECOND)
+        self.assertTrue(0.0 < found.limit <= 1 << 16)
+
+    def test_old_evidence_of_a_level_does_not_return(self):
+        """Guards against a knee that a single visit after minutes restores."""
+        for _ in range(6):
+            self.load.run(1, ('a', 3, 0.03), slots=8)
+            self.load.run(1, ('a', 6, 0.12), slots=8)
+        self.load.run(70, ('a', 3, 0.03), slots=8)
+        self.load.run(0.2, ('a', 6, 0.03), slots=8)
+        self.assertEqual(8.0, self.load.estimate('a').limit)
+
+    def test_upstream_of_another_service_is_measured_anew(self):
+        """Guards against the speed of requests that no longer come."""
+        estimator = capacity.CapacityEstimator()
+        slow = capacity.CapacitySample(0.2, 1, 2, 0.2)
+        fast = capacity.CapacitySample(0.2, 1, 20, 0.2)
+        now = 0 * builders.SECOND
+        for service, own in (('old', slow), ('new', fast)):
+            for _ in range(20):
+                now += builders.INTERVAL_S * builders.SECOND
+                estimator.update('a', 2, own, now, service)
+                estimator.update('b', 2, slow, now, 'old')
+                estimator.update('c', 2, fast, now, 'new')
+            found = estimator.estimate('a', now)
+            other = 'b' if service == 'old' else 'c'
+            expected = estimator.estimate(other, now)
+            self.assertAlmostEqual(1.0, found.rate / expected.rate, delta=0.1)
+            self.assertEqual(2.0, found.limit)
+        estimator.update('a', 2, slow, now, 'old')
+        self.assertFalse(estimator.estimate('d', now).known)
+        self.assertFalse(estimator.estimate('a', now).known)
+
+    def test_slow_upstream_with_a_knee_is_found(self):
+        """Guards against a slowdown that is put down to the knee.
+
+        Open flows keep the slow upstream beyond its knee.
+        """
+        others = ('b', 3, 0.03), ('c', 3, 0.03)
+        for _ in range(6):
+            self.load.run(1, ('a', 3, 0.03), *others, slots=8)
+            self.load.run(1, ('a', 6, 0.07), *others, slots=8)
+        self.load.run(2, ('a', 3, 0.03), *others, slots=8)
+        self.load.run(1, ('a', 6, 0.35), *others, slots=8)
+        for _ in range(12):
+            self.load.run(1, ('a', 6, 0.35), *others, slots=8)
+            self.assertLess(self.load.estimate('a').limit, 0.5)
+        # The knee is still known when it is as fast as before.
+        self.load.run(2, ('a', 6, 0.07), *others, slots=8)
+        self.assertAlmostEqual(3.0, self.load.estimate('a').limit, delta=0.5)
+        self.load.run(2, ('a', 3, 0.03), *others, slots=8)
+        found = self.load.estimate('a')
+        self.assertAlmostEqual(3.0, found.limit, delta=0.5)
+        self.assertAlmostEqual(100.0, found.rate, delta=20)
+
     def test_without_work_nothing_is_known(self):
         """Guards against invented figures in a service without requests."""
         self.load.run(4, ('a', 0, 1.0))
