Keep a dead upstream silent while trials are pending

An opening of the last 40 ms of an interval is unanswered in the next one. Such openings were added up as answered, without an end, since intervals with unanswered openings did not take them back. In a trial of 600 s with 1.5 trials an interval, a dead upstream counted as back 60 times, and its ban rose to 16 s. Now an unanswered opening starts the count again: 3 times in the same trial.

Ruled out: to wait for a second interval too.

--- a/acaciamoor/evidence/tests/test_evidence.py
+++ b/acaciamoor/evidence/tests/test_evidence.py
@@ -59,6 +59,17 @@
         self.judge.receive(load(openings=2), times=2)
         self.assertIs(HEALTHY, self.judge.verdict())
 
+    def test_trials_whose_silence_counts_later_end_no_silence(self):
+        """Guards against a dead upstream that counts as back every 10 s, since
+        openings at the end of an interval are unanswered in the next one.
+        """
+        self.judge.receive(load(unanswered=2))
+        for openings in (1, 1, 2, 1, 2, 1):
+            self.assertFalse(self.judge.receive(load(openings=openings)))
+            self.assertFalse(
+                self.judge.receive(load(openings=0, unanswered=1))
+            )
+
     def test_upstream_that_fails_in_part_is_avoided_while_others_have_room(
         self,
     ):
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -80,8 +80,7 @@
         self.silent = False
         # Since the last answer.
         self._totals = _Totals()
-        # Openings that were answered since it is silent. An opening of the
-        # last 40 ms counts until its silence does.
+        # Openings without a sign of silence since the last one.
         self._answered = 0
 
     def record(self, sample: Sample, decay: float) -> None:
@@ -95,9 +94,8 @@
             Weight that earlier evidence has left.
         """
         if self._shows_silence(sample, decay):
-            if not self.silent:
-                self.silent = True
-                self._answered = 0
+            self.silent = True
+            self._answered = 0
         elif sample.answers > sample.unanswered or self._is_answered(sample):
             self.silent = False
 
@@ -138,15 +136,18 @@
     def _is_answered(self, sample: Sample) -> bool:
         """Return whether openings are answered, though no request is yet.
 
-        The requests of some services take seconds.
+        The requests of some services take seconds. Openings at the end of an
+        interval are unanswered in the next one. Added up over all intervals,
+        they ended the silence of a dead upstream every 10 s; a wait for the
+        next interval finds recoveries 0.2 s later.
         """
         if not self.silent:
             return False
-        self._answered += sample.openings - sample.unanswered
-        return (
-            not sample.unanswered
-            and self._answered >= self._settings.min_answered
-        )
+        if sample.unanswered:
+            self._answered = 0
+            return False
+        self._answered += sample.openings
+        return self._answered >= self._settings.min_answered
 
 
 class UpstreamEvidence:
