Do not take old evidence for a recovery

A silence whose evidence had grown old (3 s without news) ended like one that an answer ends: all hosts dropped their own suspicions of an upstream that had answered nobody, and the next silence counted as flapping and led to a ban of 1 s or more. Evidence of the own data centre alone never grew old while other data centres heard the upstream. Changes now say whether an answer ended the silence.

--- a/acaciamoor/evidence/shared.py
+++ b/acaciamoor/evidence/shared.py
@@ -43,6 +43,9 @@
         Sums of the interval that led to the change.
     ban : datetime.timedelta
         Time for which it is avoided although it answers.
+    answered : bool
+        Whether a silence has ended with an answer; False if its evidence is
+        too old.
     """
 
     upstream_id: model.UpstreamId
@@ -52,6 +55,7 @@
     unanswered: int
     answers: int
     ban: datetime.timedelta
+    answered: bool
 
 
 class SharedEvidence:
@@ -322,4 +326,5 @@
         record.last.unanswered,
         record.last.answers,
         max(_ZERO, record.ban_until - now),
+        before is upstreams.Verdict.SILENT and record.answered,
     )
--- a/acaciamoor/evidence/tests/test_evidence.py
+++ b/acaciamoor/evidence/tests/test_evidence.py
@@ -116,6 +116,27 @@
         self.judge.receive(load('desk-2', finished=7), times=10)
         self.assertIs(HEALTHY, self.judge.verdict())
 
+    def test_old_evidence_is_no_recovery(self):
+        """Guards against suspicions that end, and bans that grow, although
+        the upstream has never answered.
+        """
+        self.judge.receive(load(unanswered=2))
+        (change,) = self.judge.receive(times=20)
+        self.assertFalse(change.answered)
+        self.judge.receive(load(unanswered=2))
+        (change,) = self.judge.receive(load(finished=7))
+        self.assertTrue(change.answered)
+        self.assertFalse(change.ban)
+
+    def test_old_evidence_of_the_own_data_centre_is_forgotten(self):
+        """Guards against a lost path that nobody here tries any more."""
+        remote_loads = [load(finished=9)]
+        self.judge.receive(load(unanswered=2), remote_loads=remote_loads)
+        self.assertIs(SILENT, self.judge.verdict())
+        (change,) = self.judge.receive(remote_loads=remote_loads, times=20)
+        self.assertIs(HEALTHY, change.after)
+        self.assertFalse(change.answered)
+
     def test_repeated_sum_counts_once(self):
         """Guards against a lost opening that counts in several intervals."""
         self.judge.receive(load(unanswered=1))
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -164,9 +164,11 @@
     __slots__ = (
         '_everyone',
         '_own',
+        '_own_evidence_at',
         '_own_totals',
         '_settings',
         '_totals',
+        'answered',
         'ban_until',
         'evidence_at',
         'flaps',
@@ -190,7 +192,11 @@
         self._totals = _Totals()
         self._own_totals = _Totals()
         self.evidence_at = now
+        self._own_evidence_at = now
         self.silent = False
+        # Whether the last silence ended with an answer, and not because its
+        # evidence is too old.
+        self.answered = False
         self.partial = False
         self.flaps = 0
         self.ban_until = _ZERO
@@ -220,20 +226,26 @@
         """
         settings = self._settings
         self.last = everyone
+        if own.unanswered or own.answers:
+            self._own_evidence_at = now
         if everyone.unanswered or everyone.answers:
             self.evidence_at = now
-        elif now - self.evidence_at > settings.memory:
+        is_old = now - self.evidence_at > settings.memory
+        if is_old:
             self._everyone.clear()
-            self._own.clear()
         self._everyone.record(everyone, decay)
         if self._everyone.silent:
             self._own.clear()
+        elif now - self._own_evidence_at > settings.memory:
+            # Others may hear the upstream all the time.
+            is_old = is_old or self._own.silent
+            self._own.clear()
         else:
             self._own.record(own, decay)
         self._totals.add(everyone, decay)
         self._own_totals.add(own, decay)
         self._update_partial()
-        self._update_silence(now)
+        self._update_silence(now, answered=not is_old)
         self.measurable = not (
             self.silent
             or self._has_hanging_requests(now)
@@ -282,7 +294,9 @@
         elif share < settings.partial_share / 2 or unanswered < 1.0:
             self.partial = False
 
-    def _update_silence(self, now: datetime.timedelta) -> None:
+    def _update_silence(
+        self, now: datetime.timedelta, answered: bool
+    ) -> None:
         silent = self._everyone.silent or self._own.silent
         if silent == self.silent:
             return
@@ -290,13 +304,18 @@
         self.since = now
         if silent:
             self.partial = False
-            self.flaps = self.flaps + 1 if self._may_flap(now) else 0
+            if not self._may_flap(now):
+                self.flaps = 0
+            elif self.answered:
+                self.flaps += 1
             return
+        self.answered = answered
         # Openings of the time before do not make it one that fails in part.
         self._totals = _Totals()
         self._own_totals = _Totals()
         self.recovered_at = now
-        self.ban_until = now + self._ban()
+        if answered:
+            self.ban_until = now + self._ban()
 
     def _has_hanging_requests(self, now: datetime.timedelta) -> bool:
         return (
--- a/acaciamoor/openings/tests/test_shared_evidence.py
+++ b/acaciamoor/openings/tests/test_shared_evidence.py
@@ -52,6 +52,17 @@
         )
         self.assertGreater(self.site.count()['desk-1'], 60)
 
+    def test_old_evidence_does_not_end_own_suspicions(self):
+        """Guards against all hosts that return to a dead upstream at once."""
+        self.fail(1)
+        detector = self.site.failure_detector
+        for _ in range(15):
+            self.site.report([load(f'desk-{n}') for n in (0, 2, 3)], 1)
+            detector.record_timeout('desk-1', self.site.now)
+        self.site.report([load(f'desk-{n}') for n in (0, 2, 3)], 2)
+        self.assertFalse(self.site.placer.find_verdicts(self.site.now))
+        self.assertTrue(detector.is_suspected('desk-1', self.site.now))
+
     def test_own_suspicion_lasts_while_others_hear_the_upstream(self):
         """Guards against a lost path of this host alone."""
         self.site.report([load(f'desk-{n}') for n in range(4)], 5)
