Prefer own suspicions to the evidence of all hosts as a last resort

If a host suspected all upstreams that are not avoided, e.g. the other one of two after one lost packet, it took the least loaded one of all that it did not suspect itself: the upstream that all hosts find silent.

--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -327,6 +327,14 @@
             upstream_id = table.candidates[number].upstream_id
             return upstream_id not in table.doubtful and accepts(number)
 
+        def accepts_suspected(number: int) -> bool:
+            upstream_id = table.candidates[number].upstream_id
+            return (
+                upstream_id not in excluded
+                and upstream_id not in table.avoided
+                and has_room(number)
+            )
+
         chosen = None
         if excluded:
             chosen = self._find_answering(table, accepts_proven, now)
@@ -336,6 +344,9 @@
             chosen = self._draw_trial(table, has_room)
         if chosen is None:
             chosen = self._draw_best(table, costs, accepts)
+        if chosen is None and table.avoided:
+            # The suspicion of this host says less than the evidence of all.
+            chosen = self._draw_best(table, costs, accepts_suspected)
         if chosen is None:
             return None
         entry = table.candidates[chosen]
