Count a host once however often it names an upstream

A report that names an upstream 50 times with one unanswered opening each counted 50 times, and so could take away an upstream in use. Only the first load of an upstream counts now.

A host whose unanswered openings are left out still reported openings at upstreams that answered no request. They passed for answered openings, and ended a silence. They are left out too.

--- a/acaciamoor/evidence/report_filter.py
+++ b/acaciamoor/evidence/report_filter.py
@@ -70,9 +70,23 @@
             and answering > 0
             and (len(silent) < _MIN_SILENT or len(silent) <= answering)
         )
+        if not trusted:
+            report = msgspec.structs.replace(
+                report, upstreams=[_hide(load) for load in report.upstreams]
+            )
         return limit_unanswered(report, 1 if trusted else 0)
 
 
+def _hide(load: load_reports.UpstreamLoad) -> load_reports.UpstreamLoad:
+    """Leave out openings at an upstream that has answered no request.
+
+    Without the unanswered ones they would pass for answered openings.
+    """
+    if load.finished or load.rejected or not load.openings:
+        return load
+    return msgspec.structs.replace(load, openings=0, unanswered=0)
+
+
 def limit_unanswered(
     report: load_reports.HostReport, limit: int | None = None
 ) -> load_reports.HostReport:
@@ -91,10 +105,18 @@
     """
     if limit is None:
         limit = report.hosts
-    if all(load.unanswered <= limit for load in report.upstreams):
+    ids = {load.upstream_id for load in report.upstreams}
+    if len(ids) == len(report.upstreams) and all(
+        load.unanswered <= limit for load in report.upstreams
+    ):
         return report
+    # An upstream that is named several times counts with the first load.
+    loads_by_id: dict[model.UpstreamId, load_reports.UpstreamLoad] = {}
+    for load in report.upstreams:
+        loads_by_id.setdefault(load.upstream_id, load)
     return msgspec.structs.replace(
-        report, upstreams=[_limit(load, limit) for load in report.upstreams]
+        report,
+        upstreams=[_limit(load, limit) for load in loads_by_id.values()],
     )
 
 
--- a/acaciamoor/evidence/tests/test_report_filter.py
+++ b/acaciamoor/evidence/tests/test_report_filter.py
@@ -68,6 +68,27 @@
                 (hosts, hosts), (found.unanswered, found.openings)
             )
 
+    def test_host_counts_once_however_often_it_names_an_upstream(self):
+        """Guards against a host that repeats its evidence in one report."""
+        lying = builders.report(
+            load('desk-2', finished=3), *[load(unanswered=1)] * 50
+        )
+        found = evidence.limit_unanswered(lying)
+        self.assertEqual(1, sum(item.unanswered for item in found.upstreams))
+        self.assertEqual(3, found.upstreams[0].finished)
+
+    def test_openings_of_a_host_at_fault_are_no_answers(self):
+        """Guards against silence that ends since a host hides its part."""
+        self.apply(*self.healthy())
+        found = self.filter.apply(
+            builders.report(
+                load('desk-9', openings=1), load(finished=3, openings=2)
+            ),
+            False,
+            builders.SECOND,
+        )
+        self.assertEqual([0, 2], [item.openings for item in found.upstreams])
+
     def test_single_lying_host_does_not_take_away_a_used_upstream(self):
         """Guards against false reports about upstreams that answer."""
         judge = builders.Judge()
