Raise the load of silent upstreams where all others flapped

Silent upstreams count like the median of those that have not failed lately. If there were none, they kept their own load, which is low, and won each comparison where they are not avoided.

--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -618,19 +618,26 @@
         return number if has_room(number) else None
 
     def _raise_hidden_loads(self, table: _Table) -> None:
-        """Let upstreams that failed a short time ago look no idler.
+        """Let silent upstreams look no idler than the others.
 
-        They have lost their flows and would win each comparison; if they
-        fail again, most new flows would be there.
+        They have lost their requests and would win each comparison, where
+        they are not avoided.
         """
-        doubtful = table.doubtful
         verdicts = self.evidence.verdicts_by_id
+        if not verdicts:
+            return
+        # Those that failed a short time ago may still look idle.
         loads = [
             table.loads[number] / table.limits[number]
             for number, entry in enumerate(table.candidates)
-            if entry.upstream_id not in doubtful
+            if entry.upstream_id not in table.doubtful
+        ] or [
+            table.loads[number] / table.limits[number]
+            for number, entry in enumerate(table.candidates)
+            if verdicts.get(entry.upstream_id)
+            is not evidences.Verdict.SILENT
         ]
-        if not doubtful or not loads:
+        if not loads:
             return
         typical = statistics.median(loads)
         for number, entry in enumerate(table.candidates):
