Measure upstreams that fail in part

With more than half as many unanswered openings as answers, which a partial failure of flows of one request gives, neither the capacity nor the level of an upstream was updated for as long as the failure lasted, while hosts that need it kept comparing the level of before. It is measured now from the second interval in which it fails in part.

--- a/acaciamoor/evidence/tests/test_evidence.py
+++ b/acaciamoor/evidence/tests/test_evidence.py
@@ -81,6 +81,15 @@
         self.assertFalse(self.judge.avoided(demand=0.7))
         self.assertFalse(self.judge.avoided(demand=None))
 
+    def test_upstream_that_fails_in_part_is_measured(self):
+        """Guards against a capacity and a load that stand still for as long
+        as it fails, while all hosts use it.
+        """
+        loads = load(unanswered=4, openings=10, finished=6)
+        self.judge.receive(loads, times=10)
+        self.assertIs(PARTIAL, self.judge.verdict())
+        self.assertTrue(self.judge.evidence.is_measurable('desk-1'))
+
     def test_ban_of_a_flapping_upstream_grows(self):
         """Guards against flows that are lost each time it falls silent."""
         bans = []
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -242,6 +242,9 @@
             self._own.clear()
         else:
             self._own.record(own, decay)
+        # Known from the interval before: one that begins to fall silent may
+        # look the same for an interval.
+        fails_in_part = self.partial
         self._totals.add(everyone, decay)
         self._own_totals.add(own, decay)
         self._update_partial()
@@ -249,8 +252,13 @@
         self.measurable = not (
             self.silent
             or self._has_hanging_requests(now)
-            or self._everyone.is_questionable
-            or 2 * everyone.unanswered > everyone.answers
+            or (
+                not (fails_in_part and self.partial)
+                and (
+                    self._everyone.is_questionable
+                    or 2 * everyone.unanswered > everyone.answers
+                )
+            )
         )
 
     def verdict(self, now: datetime.timedelta) -> Verdict:
