--- a/acaciamoor/evidence/report_filter.py
+++ b/acaciamoor/evidence/report_filter.py
@@ -17,7 +17,7 @@
 
 
 class ReportFilter:
-    """Leaves evidence out of the reports of a host that may be at fault.
+    """Leaves doubtful evidence out of the reports of this host.
 
     To a host whose own link fails, all upstreams are silent. One without
     contact to the store may hold upstreams for ready that are gone.
@@ -92,8 +92,8 @@
 ) -> load_reports.HostReport:
     """Return a report in which a host counts once for each upstream.
 
-    Otherwise a single host with a fault could convince all others. Openings
-    that do not count as unanswered are left out.
+    Otherwise a single host with a fault could convince all others. Unanswered
+    openings beyond the limit are left out of the openings, too.
 
     Parameters
     ----------
--- a/acaciamoor/evidence/settings.py
+++ b/acaciamoor/evidence/settings.py
@@ -14,17 +14,20 @@
     ----------
     min_unanswered : float
         Unanswered openings, since the last answer, that make an upstream
-        silent: two within 2 s. A host counts once for each upstream and
-        interval, so that a single host needs two intervals.
+        silent. They lose weight with time, so that two count within 2 s.
+        A host counts once for each upstream and interval, so that a single
+        host needs two intervals.
     min_mixed : int
         Unanswered openings in an interval that make an upstream silent
         beside at most half as many answers.
     min_answered : int
-        Openings that a silent upstream must have answered before it counts as
-        back, if it has answered no request.
+        Openings without an unanswered one, in the intervals since the last
+        unanswered one, after which a silent upstream counts as back although
+        it has answered no request.
     memory : datetime.timedelta
-        Time after which evidence has lost two thirds of its weight, and
-        after which an upstream without any further evidence is used again.
+        Time in which evidence loses two thirds of its weight. Without any
+        new evidence for that time, a silent upstream is used again; this is
+        no recovery.
     min_partial : float
         Unanswered openings within `memory` that make an upstream one that
         fails in part, if they are `partial_share` of its openings.
@@ -52,8 +55,8 @@
         Openings in an interval, by all hosts of a data centre together, that
         test each avoided upstream.
     max_trial_share : float
-        Largest share of the flows that are trials. One that fails costs its
-        caller 40 ms.
+        Largest share of the new flows of a service that are trials. One that
+        fails costs its caller 40 ms.
     """
 
     min_unanswered: float = 1.5
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -65,7 +65,9 @@
 
 
 class SilenceTrack:
-    """Decides whether an upstream is silent to some hosts.
+    """Decides whether an upstream is silent to a group of hosts.
+
+    The hosts are those of all data centres, or those of one.
 
     Parameters
     ----------
@@ -302,9 +304,7 @@
         elif share < settings.partial_share / 2 or unanswered < 1.0:
             self.partial = False
 
-    def _update_silence(
-        self, now: datetime.timedelta, answered: bool
-    ) -> None:
+    def _update_silence(self, now: datetime.timedelta, answered: bool) -> None:
         silent = self._everyone.silent or self._own.silent
         if silent == self.silent:
             return
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -634,8 +634,7 @@
         ] or [
             table.loads[number] / table.limits[number]
             for number, entry in enumerate(table.candidates)
-            if verdicts.get(entry.upstream_id)
-            is not evidences.Verdict.SILENT
+            if verdicts.get(entry.upstream_id) is not evidences.Verdict.SILENT
         ]
         if not loads:
             return
