Ignore evidence about upstreams that do not exist

One host whose report names 4,096 made-up upstreams filled the records of all hosts, so that no silent upstream was found any more. Records are begun only for upstreams of the directory, as of the last update.

--- a/acaciamoor/evidence/shared.py
+++ b/acaciamoor/evidence/shared.py
@@ -109,6 +109,7 @@
         self,
         summaries: collections.abc.Mapping[str, load_reports.LoadSummary],
         now: datetime.timedelta,
+        known: collections.abc.Container[model.UpstreamId] | None = None,
     ) -> list[Change]:
         """Take in new sums, each of them once; return what has changed.
 
@@ -118,6 +119,9 @@
             Newest sum of each data centre.
         now : datetime.timedelta
             Current time.
+        known : container of UpstreamId or None
+            Upstreams that exist; evidence about others is ignored. None if
+            that is not known.
         """
         records = self._records_by_id
         fresh = self._take_new(summaries)
@@ -128,6 +132,7 @@
                 if (
                     load.unanswered
                     and load.upstream_id not in records
+                    and (known is None or load.upstream_id in known)
                     and len(records) < _MAX_RECORDS
                 ):
                     records[load.upstream_id] = upstreams.UpstreamEvidence(
--- a/acaciamoor/openings/shared_load.py
+++ b/acaciamoor/openings/shared_load.py
@@ -577,7 +577,10 @@
 
     def _update_evidence(self, now: datetime.timedelta) -> None:
         """Take in the evidence; a recovery clears what this host suspects."""
-        for change in self.evidence.update(self._picture.summaries(now), now):
+        # Those of the last update exist.
+        for change in self.evidence.update(
+            self._picture.summaries(now), now, self._levels_by_id
+        ):
             if change.answered:
                 self._failure_detector.record_answer(change.upstream_id)
             if self._handle_evidence is not None:
--- a/acaciamoor/openings/tests/test_shared_evidence.py
+++ b/acaciamoor/openings/tests/test_shared_evidence.py
@@ -63,6 +63,15 @@
         self.assertFalse(self.site.placer.find_verdicts(self.site.now))
         self.assertTrue(detector.is_suspected('desk-1', self.site.now))
 
+    def test_evidence_about_unknown_upstreams_is_ignored(self):
+        """Guards against made-up names that leave no room for others."""
+        made_up = [silent(f'none-{number}') for number in range(4095)]
+        self.site.report([*made_up, load('desk-1')], 2)
+        self.site.report([*made_up, silent('desk-1')], 2)
+        self.assertEqual(
+            {'desk-1'}, set(self.site.placer.find_verdicts(self.site.now))
+        )
+
     def test_own_suspicion_lasts_while_others_hear_the_upstream(self):
         """Guards against a lost path of this host alone."""
         self.site.report([load(f'desk-{n}') for n in range(4)], 5)
