--- a/acaciamoor/evidence/report_filter.py
+++ b/acaciamoor/evidence/report_filter.py
@@ -17,7 +17,7 @@
 
 
 class ReportFilter:
-    """Leaves evidence out of the reports of a host that may be at fault.
+    """Leaves doubtful evidence out of the reports of this host.
 
     To a host whose own link fails, all upstreams are silent. One without
     contact to the store may hold upstreams for ready that are gone.
@@ -70,16 +70,30 @@
             and answering > 0
             and (len(silent) < _MIN_SILENT or len(silent) <= answering)
         )
+        if not trusted:
+            report = msgspec.structs.replace(
+                report, upstreams=[_hide(load) for load in report.upstreams]
+            )
         return limit_unanswered(report, 1 if trusted else 0)
 
 
+def _hide(load: load_reports.UpstreamLoad) -> load_reports.UpstreamLoad:
+    """Leave out openings at an upstream that has answered no request.
+
+    Without the unanswered ones they would pass for answered openings.
+    """
+    if load.finished or load.rejected or not load.openings:
+        return load
+    return msgspec.structs.replace(load, openings=0, unanswered=0)
+
+
 def limit_unanswered(
     report: load_reports.HostReport, limit: int | None = None
 ) -> load_reports.HostReport:
     """Return a report in which a host counts once for each upstream.
 
-    Otherwise a single host with a fault could convince all others. Openings
-    that do not count as unanswered are left out.
+    Otherwise a single host with a fault could convince all others. Unanswered
+    openings beyond the limit are left out of the openings, too.
 
     Parameters
     ----------
@@ -91,10 +105,18 @@
     """
     if limit is None:
         limit = report.hosts
-    if all(load.unanswered <= limit for load in report.upstreams):
+    ids = {load.upstream_id for load in report.upstreams}
+    if len(ids) == len(report.upstreams) and all(
+        load.unanswered <= limit for load in report.upstreams
+    ):
         return report
+    # An upstream that is named several times counts with the first load.
+    loads_by_id: dict[model.UpstreamId, load_reports.UpstreamLoad] = {}
+    for load in report.upstreams:
+        loads_by_id.setdefault(load.upstream_id, load)
     return msgspec.structs.replace(
-        report, upstreams=[_limit(load, limit) for load in report.upstreams]
+        report,
+        upstreams=[_limit(load, limit) for load in loads_by_id.values()],
     )
 
 
--- a/acaciamoor/evidence/shared.py
+++ b/acaciamoor/evidence/shared.py
@@ -43,6 +43,9 @@
         Sums of the interval that led to the change.
     ban : datetime.timedelta
         Time for which it is avoided although it answers.
+    answered : bool
+        Whether a silence has ended with an answer; False if its evidence is
+        too old.
     """
 
     upstream_id: model.UpstreamId
@@ -52,6 +55,7 @@
     unanswered: int
     answers: int
     ban: datetime.timedelta
+    answered: bool
 
 
 class SharedEvidence:
@@ -105,6 +109,7 @@
         self,
         summaries: collections.abc.Mapping[str, load_reports.LoadSummary],
         now: datetime.timedelta,
+        known: collections.abc.Container[model.UpstreamId] | None = None,
     ) -> list[Change]:
         """Take in new sums, each of them once; return what has changed.
 
@@ -114,6 +119,9 @@
             Newest sum of each data centre.
         now : datetime.timedelta
             Current time.
+        known : container of UpstreamId or None
+            Upstreams that exist; evidence about others is ignored. None if
+            that is not known.
         """
         records = self._records_by_id
         fresh = self._take_new(summaries)
@@ -124,6 +132,7 @@
                 if (
                     load.unanswered
                     and load.upstream_id not in records
+                    and (known is None or load.upstream_id in known)
                     and len(records) < _MAX_RECORDS
                 ):
                     records[load.upstream_id] = upstreams.UpstreamEvidence(
@@ -322,4 +331,5 @@
         record.last.unanswered,
         record.last.answers,
         max(_ZERO, record.ban_until - now),
+        before is upstreams.Verdict.SILENT and record.answered,
     )
--- a/acaciamoor/evidence/tests/test_evidence.py
+++ b/acaciamoor/evidence/tests/test_evidence.py
@@ -59,6 +59,17 @@
         self.judge.receive(load(openings=2), times=2)
         self.assertIs(HEALTHY, self.judge.verdict())
 
+    def test_trials_whose_silence_counts_later_end_no_silence(self):
+        """Guards against a dead upstream that counts as back every 10 s, since
+        openings at the end of an interval are unanswered in the next one.
+        """
+        self.judge.receive(load(unanswered=2))
+        for openings in (1, 1, 2, 1, 2, 1):
+            self.assertFalse(self.judge.receive(load(openings=openings)))
+            self.assertFalse(
+                self.judge.receive(load(openings=0, unanswered=1))
+            )
+
     def test_upstream_that_fails_in_part_is_avoided_while_others_have_room(
         self,
     ):
@@ -70,6 +81,15 @@
         self.assertFalse(self.judge.avoided(demand=0.7))
         self.assertFalse(self.judge.avoided(demand=None))
 
+    def test_upstream_that_fails_in_part_is_measured(self):
+        """Guards against a capacity and a load that stand still for as long
+        as it fails, while all hosts use it.
+        """
+        loads = load(unanswered=4, openings=10, finished=6)
+        self.judge.receive(loads, times=10)
+        self.assertIs(PARTIAL, self.judge.verdict())
+        self.assertTrue(self.judge.evidence.is_measurable('desk-1'))
+
     def test_ban_of_a_flapping_upstream_grows(self):
         """Guards against flows that are lost each time it falls silent."""
         bans = []
@@ -105,6 +125,27 @@
         self.judge.receive(load('desk-2', finished=7), times=10)
         self.assertIs(HEALTHY, self.judge.verdict())
 
+    def test_old_evidence_is_no_recovery(self):
+        """Guards against suspicions that end, and bans that grow, although
+        the upstream has never answered.
+        """
+        self.judge.receive(load(unanswered=2))
+        (change,) = self.judge.receive(times=20)
+        self.assertFalse(change.answered)
+        self.judge.receive(load(unanswered=2))
+        (change,) = self.judge.receive(load(finished=7))
+        self.assertTrue(change.answered)
+        self.assertFalse(change.ban)
+
+    def test_old_evidence_of_the_own_data_centre_is_forgotten(self):
+        """Guards against a lost path that nobody here tries any more."""
+        remote_loads = [load(finished=9)]
+        self.judge.receive(load(unanswered=2), remote_loads=remote_loads)
+        self.assertIs(SILENT, self.judge.verdict())
+        (change,) = self.judge.receive(remote_loads=remote_loads, times=20)
+        self.assertIs(HEALTHY, change.after)
+        self.assertFalse(change.answered)
+
     def test_repeated_sum_counts_once(self):
         """Guards against a lost opening that counts in several intervals."""
         self.judge.receive(load(unanswered=1))
--- a/acaciamoor/evidence/upstream.py
+++ b/acaciamoor/evidence/upstream.py
@@ -65,7 +65,9 @@
 
 
 class SilenceTrack:
-    """Decides whether an upstream is silent to some hosts.
+    """Decides whether an upstream is silent to a group of hosts.
+
+    The hosts are those of all data centres, or those of one.
 
     Parameters
     ----------
@@ -80,8 +82,7 @@
         self.silent = False
         # Since the last answer.
         self._totals = _Totals()
-        # Openings that were answered since it is silent. An opening of the
-        # last 40 ms counts until its silence does.
+        # Openings without a sign of silence since the last one.
         self._answered = 0
 
     def record(self, sample: Sample, decay: float) -> None:
@@ -95,9 +96,8 @@
             Weight that earlier evidence has left.
         """
         if self._shows_silence(sample, decay):
-            if not self.silent:
-                self.silent = True
-                self._answered = 0
+            self.silent = True
+            self._answered = 0
         elif sample.answers > sample.unanswered or self._is_answered(sample):
             self.silent = False
 
@@ -138,15 +138,18 @@
     def _is_answered(self, sample: Sample) -> bool:
         """Return whether openings are answered, though no request is yet.
 
-        The requests of some services take seconds.
+        The requests of some services take seconds. Openings at the end of an
+        interval are unanswered in the next one. Added up over all intervals,
+        they ended the silence of a dead upstream every 10 s; a wait for the
+        next interval finds recoveries 0.2 s later.
         """
         if not self.silent:
             return False
-        self._answered += sample.openings - sample.unanswered
-        return (
-            not sample.unanswered
-            and self._answered >= self._settings.min_answered
-        )
+        if sample.unanswered:
+            self._answered = 0
+            return False
+        self._answered += sample.openings
+        return self._answered >= self._settings.min_answered
 
 
 class UpstreamEvidence:
@@ -163,9 +166,11 @@
     __slots__ = (
         '_everyone',
         '_own',
+        '_own_evidence_at',
         '_own_totals',
         '_settings',
         '_totals',
+        'answered',
         'ban_until',
         'evidence_at',
         'flaps',
@@ -189,7 +194,11 @@
         self._totals = _Totals()
         self._own_totals = _Totals()
         self.evidence_at = now
+        self._own_evidence_at = now
         self.silent = False
+        # Whether the last silence ended with an answer, and not because its
+        # evidence is too old.
+        self.answered = False
         self.partial = False
         self.flaps = 0
         self.ban_until = _ZERO
@@ -219,25 +228,39 @@
         """
         settings = self._settings
         self.last = everyone
+        if own.unanswered or own.answers:
+            self._own_evidence_at = now
         if everyone.unanswered or everyone.answers:
             self.evidence_at = now
-        elif now - self.evidence_at > settings.memory:
+        is_old = now - self.evidence_at > settings.memory
+        if is_old:
             self._everyone.clear()
-            self._own.clear()
         self._everyone.record(everyone, decay)
         if self._everyone.silent:
             self._own.clear()
+        elif now - self._own_evidence_at > settings.memory:
+            # Others may hear the upstream all the time.
+            is_old = is_old or self._own.silent
+            self._own.clear()
         else:
             self._own.record(own, decay)
+        # Known from the interval before: one that begins to fall silent may
+        # look the same for an interval.
+        fails_in_part = self.partial
         self._totals.add(everyone, decay)
         self._own_totals.add(own, decay)
         self._update_partial()
-        self._update_silence(now)
+        self._update_silence(now, answered=not is_old)
         self.measurable = not (
             self.silent
             or self._has_hanging_requests(now)
-            or self._everyone.is_questionable
-            or 2 * everyone.unanswered > everyone.answers
+            or (
+                not (fails_in_part and self.partial)
+                and (
+                    self._everyone.is_questionable
+                    or 2 * everyone.unanswered > everyone.answers
+                )
+            )
         )
 
     def verdict(self, now: datetime.timedelta) -> Verdict:
@@ -281,7 +304,7 @@
         elif share < settings.partial_share / 2 or unanswered < 1.0:
             self.partial = False
 
-    def _update_silence(self, now: datetime.timedelta) -> None:
+    def _update_silence(self, now: datetime.timedelta, answered: bool) -> None:
         silent = self._everyone.silent or self._own.silent
         if silent == self.silent:
             return
@@ -289,13 +312,18 @@
         self.since = now
         if silent:
             self.partial = False
-            self.flaps = self.flaps + 1 if self._may_flap(now) else 0
+            if not self._may_flap(now):
+                self.flaps = 0
+            elif self.answered:
+                self.flaps += 1
             return
+        self.answered = answered
         # Openings of the time before do not make it one that fails in part.
         self._totals = _Totals()
         self._own_totals = _Totals()
         self.recovered_at = now
-        self.ban_until = now + self._ban()
+        if answered:
+            self.ban_until = now + self._ban()
 
     def _has_hanging_requests(self, now: datetime.timedelta) -> bool:
         return (
--- a/acaciamoor/openings/picture_intake.py
+++ b/acaciamoor/openings/picture_intake.py
@@ -164,8 +164,11 @@
 
     def _update_evidence(self, now: datetime.timedelta) -> None:
         """Take in the evidence; a recovery clears what this host suspects."""
-        for change in self._evidence.update(self._picture.summaries(now), now):
-            if change.before is evidences.Verdict.SILENT:
+        # Those of the last update exist.
+        for change in self._evidence.update(
+            self._picture.summaries(now), now, self._averages.levels_by_id
+        ):
+            if change.answered:
                 self._failure_detector.record_answer(change.upstream_id)
             if self._handle_evidence is not None:
                 self._handle_evidence(change)
