--- /dev/null
+++ b/review/lib2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: store, backends, routers, requesters."""
