--- a/review/lib2/backend.py
+++ b/review/lib2/backend.py
@@ -10,7 +10,7 @@
 
 _QUEUE = 8
 _SLOTS = 2
-_WORK_S = 0.02
+_WORK_S = 0.025
 _RETRY_S = 0.2
 _MAX_RETRY_S = 1.6
 _MAX_RETRIES = 8
