--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Exits with 1 if ROUTE was broken, 0 if it held, 2 if it could not run.
+# Exits with 1 if RECOVER was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
 exec target/python -B review/7/case.py
--- a/review/lib2/backend.py
+++ b/review/lib2/backend.py
@@ -14,7 +14,6 @@
 _RETRY_S = 0.2
 _MAX_RETRY_S = 1.6
 _MAX_RETRIES = 8
-BEAT_S = 1.2
 
 
 class _Flow:
--- a/review/lib2/site.py
+++ b/review/lib2/site.py
@@ -190,8 +190,16 @@
         self.broken.append((rule, text))
         self.record(f'RULE {rule}: {text}')
 
-    async def start(self) -> None:
-        """Start everything; return when all hosts are ready."""
+    async def start(self, prepare=None, needs_ready=True) -> None:
+        """Start everything; return when all hosts are ready.
+
+        Parameters
+        ----------
+        prepare : callable or None
+            Called with the site before the hosts start.
+        needs_ready : bool
+            Whether to wait until the hosts are ready.
+        """
         self.folder = pathlib.Path(self._stack.enter_context(_folder()))
         prefix, self.port = _find_addresses()
         self.store = store.Store(self.record)
@@ -226,11 +234,13 @@
         self._out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._out.bind((f'{prefix}.9', 0))
         self._out.setblocking(False)
+        if prepare is not None:
+            await prepare(self)
         for host in self.hosts:
             host.start(first=True)
             self.spawn(host.check())
-        self.spawn(self._beat())
-        await self.wait_until_ready()
+        if needs_ready:
+            await self.wait_until_ready()
 
     async def wait_until_ready(self) -> None:
         """Wait until all hosts are in rotation."""
@@ -296,11 +306,6 @@
         self.record(f'config version {self._config_version}: acknowledged')
         return at
 
-    async def _beat(self) -> None:
-        """Renew the entries; nothing but `Sequence` changes in them."""
-        while True:
-            await asyncio.sleep(backend.BEAT_S)
-
     def _read(self, sock, asker) -> None:
         while True:
             try:
@@ -413,13 +418,28 @@
         self._record_file.close()
 
 
-def run(folder: pathlib.Path, case) -> int:
-    """Run a case; return the exit code of its script."""
+def run(folder: pathlib.Path, case, prepare=None, needs_ready=True) -> int:
+    """Run a case; return the exit code of its script.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of the case.
+    case : callable
+        Plays the case with the site; returns whether a rule was broken.
+    prepare, needs_ready : callable or None, bool
+        See `Site.start`.
+    """
 
     async def play() -> int:
+        # The processes of the site are ended also if the script is stopped.
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, task.cancel)
         async with Site(folder) as site:
             try:
-                await site.start()
+                await site.start(prepare, needs_ready)
                 verdict = await case(site)
             except CannotRun as error:
                 site.record(f'cannot run: {error}')
@@ -432,6 +452,9 @@
 
     try:
         return asyncio.run(play())
+    except asyncio.CancelledError:
+        print('stopped')
+        return 2
     except (OSError, KeyError) as error:
         print(f'cannot run: {error!r}')
         return 2
